--- a/flintridge/__init__.py
+++ b/flintridge/__init__.py
@@ -1,5 +1,5 @@
-"""heathproxy: the decisions of a proxy that spreads object keys over cache servers."""
+"""flintridge: the decisions of a proxy that spreads object keys over cache servers."""
 
-from heathproxy.decide import Balancer
+from flintridge.decide import Balancer
 
 __all__ = ["Balancer"]
--- a/flintridge/benchlink.py
+++ b/flintridge/benchlink.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 from typing import Any, TextIO
 
-from heathproxy import api
-from heathproxy.decide import Balancer
+from flintridge import api
+from flintridge.decide import Balancer
 
 OUTCOMES = {
     "S": api.Outcome.OK,
@@ -285,7 +285,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except ValueError as error:
-        print(f"heathproxy: {error}", file=sys.stderr)
+        print(f"flintridge: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -1,6 +1,6 @@
-"""The decisions of heathproxy: bounded-load consistent hashing.
+"""The decisions of flintridge: bounded-load consistent hashing.
 
-The interface (settings, events, actions) is in heathproxy/api.py.
+The interface (settings, events, actions) is in flintridge/api.py.
 """
 
 import bisect
@@ -14,8 +14,8 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
-from heathproxy import api
-from heathproxy.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
+from flintridge import api
+from flintridge.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
 
 MS = 1_000_000
 POINTS = 200  # of each server on the ring
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """A small driver for the module: one router, its clock, and what it has out."""
 
-from heathproxy import Balancer, api
-from heathproxy.api import Outcome
+from flintridge import Balancer, api
+from flintridge.api import Outcome
 
 MS = 1_000_000
 S = 1_000 * MS
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from heathproxy import api, benchlink
+from flintridge import api, benchlink
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIG = {
@@ -25,7 +25,7 @@
 
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess:
     return subprocess.run(
-        [sys.executable, "-m", "heathproxy.benchlink"],
+        [sys.executable, "-m", "flintridge.benchlink"],
         input=text,
         capture_output=True,
         text=True,
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,9 +2,9 @@
 
 from helpers import MS, Router, S
 
-from heathproxy import api
-from heathproxy.api import ListKind, Outcome
-from heathproxy.decide import LEAST_SHARE, SICK, Gate
+from flintridge import api
+from flintridge.api import ListKind, Outcome
+from flintridge.decide import LEAST_SHARE, SICK, Gate
 
 
 def rounds(gate: Gate, now: int, slow: bool, count: int = 40) -> int:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,7 +1,7 @@
 from helpers import Router, S, members
 
-from heathproxy import api
-from heathproxy.api import ListKind
+from flintridge import api
+from flintridge.api import ListKind
 
 
 def test_it_subscribes_where_the_list_must_be_asked_for():
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -5,9 +5,9 @@
 
 from helpers import ORIGIN_KIND, Router, members
 
-from heathproxy import api
-from heathproxy.api import ListKind, MemberState, Outcome
-from heathproxy.decide import EPSILON, MIN_CAP, place_of, points
+from flintridge import api
+from flintridge.api import ListKind, MemberState, Outcome
+from flintridge.decide import EPSILON, MIN_CAP, place_of, points
 
 CACHES = [m.server for m in members(5) if m.kind != ORIGIN_KIND]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import MS, ORIGIN_KIND, Router, S, members
 
-from heathproxy import api
-from heathproxy.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
+from flintridge import api
+from flintridge.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
 
 FAILURES = [o for o in Outcome if o not in (Outcome.OK, Outcome.MISS)]
 
