--- a/flintridge/benchlink.py
+++ b/flintridge/benchlink.py
@@ -4,10 +4,11 @@
 import json
 import sys
 from collections.abc import Iterator
-from typing import Any, TextIO
+from typing import TextIO
 
 from flintridge import api
 from flintridge.decide import Balancer
+from flintridge.settings import settings_from
 
 OUTCOMES = {
     "S": api.Outcome.OK,
@@ -27,105 +28,6 @@
     "stale_copy": api.ListKind.CACHED,
     "broken": api.ListKind.FAILED,
 }
-EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-
-# Names on the wire -> names in api.py; whatever is not named here is skipped.
-CLASS_KEYS = {
-    "name": "name",
-    "sloNs": "aim_ns",
-    "hardLimitNs": "deadline_ns",
-    "points": "worth",
-    "lateShare": "late_share",
-    "effect": "effect",
-    "group": "group",
-    "windowNs": "window_ns",
-    "stream": "stream",
-    "aimStretch": "aim_stretch",
-}
-TENANT_KEYS = {"name": "name", "quotaPerS": "quota_per_s", "share": "share"}
-RULE_KEYS = {
-    "answerSlackNs": "answer_slack_ns",
-    "askWithinNs": "ask_within_ns",
-    "drainGraceNs": "drain_grace_ns",
-    "coldShare": "cold_share",
-    "coldNs": "cold_ns",
-    "fallMultiple": "fall_multiple",
-    "fallNs": "fall_ns",
-}
-LIMIT_KEYS = {
-    "attemptsCap": "max_attempts",
-    "parallelTries": "second_copies",
-    "cancel": "cancel",
-    "probes": "probes",
-    "mayTell": "peers",
-    "retryAfter": "retry_after",
-    "maxRetryAfterNs": "max_retry_after_ns",
-    "maxOpen": "max_open",
-    "connectTimeoutNs": "connect_timeout_ns",
-    "connIdleNs": "conn_idle_ns",
-}
-PRICE_KEYS = {
-    "crossZone": "cross_zone",
-    "waste": "waste",
-    "lateFail": "late_fail",
-    "connection": "connection",
-    "handshake": "handshake",
-    "origin": "origin",
-    "probe": "probe",
-    "peer": "peer",
-    "moves": "moves",
-    "discovery": "discovery",
-}
-GOAL_KEYS = {
-    "whole": "whole",
-    "worstWindow": "worst_window",
-    "worstClass": "worst_class",
-    "worstTenant": "worst_tenant",
-    "tail": "tail",
-    "tailSlack": "tail_slack",
-    "availability": "availability",
-    "fullAtNines": "full_at_nines",
-}
-TOP_KEYS = {
-    "fleetSize": "fleet_size",
-    "selfIndex": "self_index",
-    "zone": "zone",
-    "overShareWorth": "over_share_worth",
-}
-
-
-def _known(source: dict[str, Any], names: dict[str, str]) -> dict[str, Any]:
-    return {ours: source[theirs] for theirs, ours in names.items() if source.get(theirs) is not None}
-
-
-def class_from(config: dict[str, Any]) -> api.RequestClass:
-    values = _known(config, CLASS_KEYS)
-    if "effect" in values:
-        values["effect"] = EFFECTS[values["effect"]]
-    if "group" in values:
-        values["group"] = api.Group(values["group"])
-    return api.RequestClass(**values)
-
-
-def settings_from(config: dict[str, Any]) -> api.Settings:
-    """The settings of a PROVISION line; absent keys take the defaults of api.py."""
-    family = config.get("familyInfo", {})
-    values = _known(config, TOP_KEYS)
-    if config.get("services"):
-        values["classes"] = tuple(class_from(c) for c in config["services"])
-    return api.Settings(
-        **values,
-        tenants=tuple(api.Tenant(**_known(t, TENANT_KEYS)) for t in config.get("tenants") or ()),
-        rules=api.Rules(**_known(config.get("rules", {}), RULE_KEYS)),
-        limits=api.Limits(**_known(config.get("permissions", {}), LIMIT_KEYS)),
-        prices=api.Prices(**_known(config.get("prices", {}), PRICE_KEYS)),
-        goal=api.Goal(**_known(config.get("goal", {}), GOAL_KEYS)),
-        discovery=api.Discovery(config.get("discovery", "pushed")),
-        mode=api.CacheMode(family.get("mode", "through")),
-        origin_kind=family.get("originKind", -1),
-        report=api.ReportHow(config.get("report", {}).get("how", "none")),
-        worth_by_work=config.get("worthBy") == "work",
-    )
 
 
 def _int(text: str) -> int:
--- /dev/null
+++ b/flintridge/net/clock.py
@@ -0,0 +1,84 @@
+"""The one clock of a node: float milliseconds, and the one conversion to the module's integer nanoseconds."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+NS = 1_000_000
+T = TypeVar("T")
+
+
+def to_ns(ms: float) -> int:
+    return round(ms * NS)
+
+
+def to_ms(ns: int) -> float:
+    return ns / NS
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    def now(self) -> float:
+        """Milliseconds from an arbitrary origin, moving forward only."""
+
+    def from_unix(self, unix_ms: float) -> float:
+        """An instant in Unix time on this clock; the same instant always gives the same figure."""
+
+    def call_at(self, at: float, call: Callable[..., None], *args: object) -> Timer: ...
+
+
+class SystemClock:
+    """The event loop's clock."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        # Fixed at the start: a restart is told by a changed instant, so a stepped system clock
+        # must not move the instants that were converted before.
+        self._unix_origin = time.time() * 1000 - self.now()
+
+    def now(self) -> float:
+        return self._loop.time() * 1000
+
+    def from_unix(self, unix_ms: float) -> float:
+        return unix_ms - self._unix_origin
+
+    def call_at(self, at: float, call: Callable[..., None], *args: object) -> Timer:
+        return self._loop.call_at(at / 1000, call, *args)
+
+
+class OutOfTime(Exception):
+    """What was waited for did not come within its limit."""
+
+
+async def within(clock: Clock, limit: float, awaited: Awaitable[T]) -> T:
+    """The result of `awaited`, or OutOfTime after `limit` milliseconds of this clock."""
+    task = asyncio.ensure_future(awaited)
+    late = False
+
+    def expire() -> None:
+        nonlocal late
+        late = True
+        task.cancel()
+
+    timer = clock.call_at(clock.now() + limit, expire)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if late:
+            raise OutOfTime from None
+        raise
+    finally:
+        timer.cancel()
+
+
+async def sleep(clock: Clock, ms: float) -> None:
+    woken = asyncio.get_running_loop().create_future()
+    timer = clock.call_at(clock.now() + ms, lambda: woken.done() or woken.set_result(None))
+    try:
+        await woken
+    finally:
+        timer.cancel()
--- /dev/null
+++ b/flintridge/net/delivery.py
@@ -0,0 +1,231 @@
+"""Connections to cache servers and the origin, and the DeliveryAttempts carried over them.
+
+One attempt a connection at a time: answers on one come in order and a cancel closes it, so an attempt behind
+another would wait for it and die with it. Idle connections are kept and used again, the latest first.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flintridge.api import Outcome, Settings
+from flintridge.net.clock import Clock, OutOfTime, to_ms, within
+from flintridge.net.counters import Counters
+from flintridge.net.envelope import Answer, DeliveryAttempt, Exchange
+from flintridge.net.log import Log
+from flintridge.net.memcache import CacheExchange, CacheProbe
+from flintridge.net.origin import OriginExchange, OriginProbe
+from flintridge.net.transport_map import Transport, TransportMap
+from flintridge.settings import Address
+
+IDLE_PART = 0.8  # of the time after which a server closes an idle connection; we close it by then
+SWEEP = 250.0
+PROBE_TIME = 500.0
+
+
+class NoRoom(OSError):
+    """Every descriptor that may be used for servers is in use."""
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """A connection to a server."""
+
+    address: Address
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    idle_since: float = 0.0
+    asked: bool = False  # the question was written whole
+
+    @property
+    def broken(self) -> bool:
+        return self.reader.at_eof() or self.writer.is_closing()
+
+    async def ask(self, exchange: Exchange) -> Answer:
+        """Raises OSError where the connection breaks."""
+        self.asked = False
+        self.writer.writelines(exchange.question())
+        await self.writer.drain()  # with no high-water mark: returns when all is written
+        self.asked = True
+        while True:
+            data = await self.reader.read(65536)
+            answer = exchange.feed(data) if data else exchange.end()
+            if answer is not None:
+                return answer
+            if not data:
+                raise ConnectionResetError("the server ended the connection")
+
+
+class Delivery:
+    def __init__(
+        self,
+        transports: TransportMap,
+        settings: Settings,
+        clock: Clock,
+        room: int,
+        report: Callable[[DeliveryAttempt, Answer], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        self._transports = transports
+        self._connect_time = to_ms(settings.limits.connect_timeout_ns)
+        self._idle_time = IDLE_PART * to_ms(settings.limits.conn_idle_ns)
+        self._clock = clock
+        self._room = room
+        self._report = report
+        self._log = log
+        self._counters = counters
+        self._open = 0  # connections, those being opened too
+        self._idle: dict[str, deque[Link]] = {}  # by server, the latest used last
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
+
+    def start(self, attempt: DeliveryAttempt) -> None:
+        self._track(asyncio.ensure_future(self._carry(attempt)), attempt)
+
+    def probe(self, server: str, done: Callable[[Answer], None]) -> None:
+        self._track(asyncio.ensure_future(self._probe(server, done)))
+
+    def close_idle(self, server: str) -> None:
+        for link in self._idle.pop(server, ()):
+            self._close(link)
+
+    async def close(self) -> None:
+        self._sweep_timer.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for server in list(self._idle):
+            self.close_idle(server)
+
+    def _track(self, task: asyncio.Task[None], attempt: DeliveryAttempt | None = None) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if attempt is not None:
+            attempt.give_up = task.cancel
+
+    # One attempt
+
+    async def _carry(self, attempt: DeliveryAttempt) -> None:
+        link: Link | None = None
+        answer = Answer(Outcome.CONNECT_FAILED)  # what holds until its last byte is written
+        try:
+            transport = self._transports[attempt.server]
+            link = self._take(attempt.server, transport)
+            if link is None:
+                limit = min(self._connect_time, attempt.until - self._clock.now())
+                link = await self._connect(transport.address, limit)
+            exchange = self._exchange(attempt, transport)
+            answer = await within(self._clock, attempt.until - self._clock.now(), link.ask(exchange))
+            if exchange.reusable:
+                self._keep(attempt.server, link)
+                link = None
+        except OutOfTime:
+            if link is not None and link.asked:
+                answer = Answer(Outcome.TIMEOUT)
+        except OSError:
+            if link is not None and link.asked:
+                answer = Answer(Outcome.RESET)
+        except asyncio.CancelledError:
+            answer = Answer(Outcome.CANCELLED)
+        except Exception as error:
+            self._log.error("attempt_broke", error, server=attempt.server)
+            answer = Answer(Outcome.ERROR)
+        finally:
+            if link is not None:
+                self._close(link)
+        self._report(attempt, answer)
+
+    def _exchange(self, attempt: DeliveryAttempt, transport: Transport) -> Exchange:
+        if transport.origin:
+            return OriginExchange(attempt.envelope, f"{transport.address.host}:{transport.address.port}")
+        return CacheExchange(attempt.envelope, attempt.until - self._clock.now())
+
+    async def _probe(self, server: str, done: Callable[[Answer], None]) -> None:
+        link: Link | None = None
+        answer = Answer(Outcome.CONNECT_FAILED)
+        try:
+            transport = self._transports[server]
+            link = self._take(server, transport) or await self._connect(transport.address, self._connect_time)
+            host = f"{transport.address.host}:{transport.address.port}"
+            probe: Exchange = OriginProbe(host) if transport.origin else CacheProbe()
+            answer = await within(self._clock, PROBE_TIME, link.ask(probe))
+            if probe.reusable:
+                self._keep(server, link)
+                link = None
+        except OutOfTime:
+            answer = Answer(Outcome.TIMEOUT)
+        except OSError:
+            if link is not None and link.asked:
+                answer = Answer(Outcome.RESET)
+        except Exception as error:
+            self._log.error("probe_broke", error, server=server)
+        finally:
+            if link is not None:
+                self._close(link)
+        done(answer)
+
+    # Connections
+
+    def _take(self, server: str, transport: Transport) -> Link | None:
+        links = self._idle.get(server)
+        while links:
+            link = links.pop()
+            idle = self._clock.now() - link.idle_since
+            if not link.broken and idle < self._idle_time and link.address == transport.address:
+                return link
+            self._close(link)
+        return None
+
+    def _keep(self, server: str, link: Link) -> None:
+        link.idle_since = self._clock.now()
+        self._idle.setdefault(server, deque()).append(link)
+
+    async def _connect(self, address: Address, limit: float) -> Link:
+        if self._open >= self._room and not self._free_one():
+            raise NoRoom
+        self._open += 1
+        try:
+            opening = asyncio.open_connection(address.host, address.port)
+            reader, writer = await within(self._clock, limit, opening)
+        except BaseException:
+            self._open -= 1
+            self._counters.add("connections_failed")
+            raise
+        writer.transport.set_write_buffer_limits(high=0)
+        self._counters.add("connections_opened")
+        return Link(address, reader, writer)
+
+    def _close(self, link: Link) -> None:
+        self._open -= 1
+        if link.writer.transport.get_write_buffer_size():
+            link.writer.transport.abort()  # else the rest of a question given up would still be written
+        else:
+            link.writer.close()
+
+    def _free_one(self) -> bool:
+        """Close the connection that has been idle for longest, whichever server it leads to."""
+        oldest = min(
+            (links for links in self._idle.values() if links),
+            key=lambda kept: kept[0].idle_since,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        self._close(oldest.popleft())
+        return True
+
+    def _sweep(self) -> None:
+        """Drop what a server has ended, or is about to."""
+        now = self._clock.now()
+        for server, links in list(self._idle.items()):
+            stay: deque[Link] = deque()
+            for link in links:
+                if link.broken or now - link.idle_since >= self._idle_time:
+                    self._close(link)
+                else:
+                    stay.append(link)
+            self._idle[server] = stay
+        self._sweep_timer = self._clock.call_at(now + SWEEP, self._sweep)
--- /dev/null
+++ b/flintridge/net/envelope.py
@@ -0,0 +1,83 @@
+"""What passes between a front, the core and the drivers; it knows neither memcache nor HTTP."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from flintridge.api import Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class Envelope:
+    """One request as a front took it in. Key, id, value and extras are passed on as they are."""
+
+    id: bytes
+    key: bytes
+    extras: bytes  # the list of names and values
+    wait_span: tuple[int, int] | None  # where in `extras` the time to wait stands
+    value: bytes | None = None  # of a write
+    wait_ms: float | None = None  # how long the client waits; None: as long as its class
+    cls: int = 0
+    tenant: int = 0
+    retry: bool = False
+    work_us: float | None = None
+    size: float | None = None
+
+    @property
+    def write(self) -> bool:
+        return self.value is not None
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    """A final answer made by a server: a read's value, or a write's receipt."""
+
+    body: bytes
+    receipt: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """How an attempt ended, as its server told it."""
+
+    outcome: Outcome
+    served: Served | None = None
+    note: int | None = None
+    load: dict[str, float] = field(default_factory=dict)
+
+
+class Reply(Protocol):
+    """The sender side's end of a request: exactly one of these is called, once."""
+
+    def served(self, served: Served) -> None: ...
+
+    def defer(self, retry_after_ms: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class Exchange(Protocol):
+    """A question to a server and its answer: a state machine that is fed bytes and knows no socket."""
+
+    reusable: bool  # whether the connection may carry another exchange
+
+    def question(self) -> list[bytes]: ...
+
+    def feed(self, data: bytes) -> Answer | None: ...
+
+    def end(self) -> Answer | None:
+        """The server ended its sending: the answer, if this completes it."""
+
+
+@dataclass(slots=True)
+class DeliveryAttempt:
+    """One attempt to have a request served by a server."""
+
+    id: str
+    number: int
+    server: str
+    envelope: Envelope
+    sent_at: float
+    until: float  # the node stops waiting then
+    ended: bool = False
+    give_up: Callable[[], None] | None = None  # set by the driver that carries it
--- /dev/null
+++ b/flintridge/net/memcache.py
@@ -0,0 +1,369 @@
+"""The meta commands of the memcache protocol: parsers and writers for both sides, fed bytes."""
+
+import math
+from dataclasses import dataclass
+
+from flintridge.api import Outcome, Settings
+from flintridge.net.envelope import Answer, Envelope, Served
+
+MAX_LINE = 2048
+MAX_KEY = 250
+MAX_VALUE = 64 * 1024
+MAX_SKIP = 16 * 1024 * 1024  # of a value that is too long: read past, so that the connection can go on
+EOL = b"\r\n"
+
+
+@dataclass(slots=True, frozen=True)
+class Hello:
+    """`mn`: may requests come?"""
+
+
+@dataclass(slots=True, frozen=True)
+class BadCommand:
+    """To be answered CLIENT_ERROR; where the framing is lost the connection ends after that."""
+
+    reason: str
+    fatal: bool = False
+
+
+class Malformed(ValueError):
+    pass
+
+
+def _number(text: bytes) -> float:
+    """A finite number that is not negative, in plain digits."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise Malformed("bad number") from None
+    if not 0 <= value < 1e15 or math.isnan(value):
+        raise Malformed("bad number")
+    return value
+
+
+def _is_text(token: bytes) -> bool:
+    return token.isascii() and all(33 <= byte < 127 for byte in token)
+
+
+class CommandParser:
+    """Commands of a client, as Envelopes; bad ones are told and passed over where the framing holds."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+        self._buffer = bytearray()
+        self._scanned = 0  # of the buffer: no line ends before this
+        self._skip = 0  # bytes of a refused value still to come
+        self._write: tuple[int, list[bytes]] | None = None  # an ms whose value is awaited: length, tokens
+        self._dead = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of a further command has arrived."""
+        return not self._buffer and self._write is None and not self._skip
+
+    def feed(self, data: bytes) -> list[Envelope | Hello | BadCommand]:
+        found: list[Envelope | Hello | BadCommand] = []
+        self._buffer += data
+        at = 0
+        while not self._dead:
+            at, command, more = self._next(at)
+            if command is not None:
+                found.append(command)
+                self._dead = isinstance(command, BadCommand) and command.fatal
+            if not more:
+                break
+        if self._dead:
+            self._buffer.clear()
+        else:
+            del self._buffer[:at]
+            self._scanned -= min(at, self._scanned)
+        return found
+
+    def _next(self, at: int) -> tuple[int, Envelope | Hello | BadCommand | None, bool]:
+        """One step from `at` on: where the next begins, what was found, and whether there may be more."""
+        buffer = self._buffer
+        if self._skip:
+            step = min(self._skip, len(buffer) - at)
+            self._skip -= step
+            return at + step, None, not self._skip
+        if self._write is not None:
+            length, tokens = self._write
+            if len(buffer) - at < length + 2:
+                return at, None, False
+            self._write = None
+            end = at + length
+            if buffer[end : end + 2] != EOL:
+                return at, BadCommand("bad data chunk", fatal=True), False
+            return end + 2, self._envelope(tokens, bytes(memoryview(buffer)[at:end])), True
+        end = buffer.find(EOL, max(at, self._scanned - 1))
+        if end < 0:
+            self._scanned = len(buffer)
+            if len(buffer) - at > MAX_LINE:
+                return at, BadCommand("line too long", fatal=True), False
+            return at, None, False
+        self._scanned = end + 2
+        if end - at > MAX_LINE:
+            return at, BadCommand("line too long", fatal=True), False
+        return end + 2, self._line(bytes(memoryview(buffer)[at:end])), True
+
+    def _line(self, line: bytes) -> Envelope | Hello | BadCommand | None:
+        tokens = line.split(b" ")
+        if tokens == [b"mn"]:
+            return Hello()
+        if tokens[0] == b"mg":
+            return self._envelope(tokens, None)
+        if tokens[0] != b"ms":
+            return BadCommand("unknown command")
+        if len(tokens) < 3 or not tokens[2].isdigit() or len(tokens[2]) > 10:
+            return BadCommand("bad data length", fatal=True)
+        length = int(tokens.pop(2))
+        if length > MAX_VALUE:
+            self._skip = length + 2
+            return BadCommand("value too large", fatal=length > MAX_SKIP)
+        self._write = length, tokens
+        return None
+
+    def _envelope(self, tokens: list[bytes], value: bytes | None) -> Envelope | BadCommand:
+        try:
+            return self._checked(tokens, value)
+        except Malformed as error:
+            return BadCommand(str(error))
+
+    def _checked(self, tokens: list[bytes], value: bytes | None) -> Envelope:
+        if len(tokens) < 2 or not 0 < len(tokens[1]) <= MAX_KEY or not _is_text(tokens[1]):
+            raise Malformed("bad key")
+        flags: dict[bytes, bytes] = {}
+        for token in tokens[2:]:
+            mark = token[:1]
+            if mark not in (b"v", b"O", b"P") or mark in flags or not _is_text(token):
+                raise Malformed("bad flag")
+            flags[mark] = token[1:]
+        if not flags.get(b"O"):
+            raise Malformed("no id")
+        if (b"v" in flags) != (value is None) or flags.get(b"v"):
+            raise Malformed("bad flag")
+        return self._filled(tokens[1], flags[b"O"], flags.get(b"P", b""), value)
+
+    def _filled(self, key: bytes, id_: bytes, extras: bytes, value: bytes | None) -> Envelope:
+        said: dict[bytes, bytes] = {}
+        span, at = None, 0
+        for pair in extras.split(b",") if extras else ():
+            name, mark, text = pair.partition(b"=")
+            if not mark or not name or name in said:
+                raise Malformed("bad list of names and values")
+            said[name] = text
+            if name == b"d":
+                span = at + 2, at + len(pair)
+            at += len(pair) + 1
+        numbers = {name: _number(said[name]) for name in (b"d", b"h", b"size") if name in said}
+        cls = self._classes.get(said[b"c"]) if b"c" in said else 0
+        tenant = self._tenants.get(said[b"t"]) if b"t" in said and self._tenants else 0
+        if cls is None:
+            raise Malformed("unknown class")
+        if tenant is None:
+            raise Malformed("unknown tenant")
+        return Envelope(
+            id_,
+            key,
+            extras,
+            span,
+            value,
+            wait_ms=numbers.get(b"d"),
+            cls=cls,
+            tenant=tenant,
+            retry=said.get(b"r") == b"1",
+            work_us=numbers.get(b"h"),
+            size=numbers.get(b"size"),
+        )
+
+
+# Answers to clients: lists of parts for a gathered write
+
+
+def served_parts(id_: bytes, served: Served) -> list[bytes]:
+    if served.receipt:
+        return [b"HD O", id_, b" c", served.body, EOL]
+    return [b"VA %d O" % len(served.body), id_, EOL, served.body, EOL]
+
+
+def defer_parts(retry_after_ms: float) -> list[bytes]:
+    wait = math.ceil(retry_after_ms)
+    return [b"SERVER_ERROR busy %d\r\n" % wait if wait > 0 else b"SERVER_ERROR busy\r\n"]
+
+
+FAILED = b"SERVER_ERROR failed\r\n"
+HELLO = b"MN\r\n"
+NOT_YET = b"SERVER_ERROR starting\r\n"
+
+
+def bad_command_parts(reason: str) -> list[bytes]:
+    return [b"CLIENT_ERROR %b\r\n" % reason.encode()]
+
+
+# The other side: a command to a cache server and its answer
+
+
+def load_report(text: bytes) -> dict[str, float]:
+    """Names and values; what is no finite number is passed over."""
+    report = {}
+    for pair in text.split(b","):
+        name, _, value = pair.partition(b"=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if name and math.isfinite(number):
+            report[name.decode("ascii", "replace")] = number
+    return report
+
+
+class AnswerReader:
+    """Lines and counted blocks out of bytes that arrive in any cuts."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        self._buffer += data
+
+    def line(self) -> bytes | None:
+        end = self._buffer.find(EOL)
+        if end < 0 and len(self._buffer) <= MAX_LINE:
+            return None
+        if not 0 <= end <= MAX_LINE:
+            raise Malformed("line too long")
+        line = bytes(memoryview(self._buffer)[:end])
+        del self._buffer[: end + 2]
+        return line
+
+    def block(self, length: int) -> bytes | None:
+        if len(self._buffer) < length + 2:
+            return None
+        if self._buffer[length : length + 2] != EOL:
+            raise Malformed("bad data chunk")
+        block = bytes(memoryview(self._buffer)[:length])
+        del self._buffer[: length + 2]
+        return block
+
+    @property
+    def empty(self) -> bool:
+        return not self._buffer
+
+
+class CacheExchange:
+    """One command passed on to a cache server. A malformed answer ends as an error: it may have run."""
+
+    def __init__(self, envelope: Envelope, wait_ms: float) -> None:
+        self._envelope = envelope
+        self._wait_ms = wait_ms
+        self._reader = AnswerReader()
+        self._value: tuple[int, Answer] | None = None  # the length of a value that is still to come
+        self.reusable = False
+
+    def question(self) -> list[bytes]:
+        e = self._envelope
+        wait = b"%d" % max(1, self._wait_ms)
+        if e.wait_span is None:
+            extras = [e.extras]
+        else:
+            start, end = e.wait_span
+            extras = [e.extras[:start], wait, e.extras[end:]]
+        listed = [b" P", *extras] if e.extras else []
+        if e.value is None:
+            return [b"mg ", e.key, b" v O", e.id, *listed, EOL]
+        return [b"ms ", e.key, b" %d O" % len(e.value), e.id, *listed, EOL, e.value, EOL]
+
+    def feed(self, data: bytes) -> Answer | None:
+        self._reader.feed(data)
+        try:
+            return self._step()
+        except Malformed:
+            return Answer(Outcome.ERROR)
+
+    def end(self) -> Answer | None:
+        return None
+
+    def _step(self) -> Answer | None:
+        if self._value is None:
+            line = self._reader.line()
+            if line is None:
+                return None
+            answer = self._line(line)
+            if answer is not None:
+                self.reusable = self._reader.empty
+                return answer
+        assert self._value is not None
+        length, answer = self._value
+        body = self._reader.block(length)
+        if body is None:
+            return None
+        self.reusable = self._reader.empty
+        return Answer(Outcome.OK, Served(body, receipt=False), answer.note, answer.load)
+
+    def _line(self, line: bytes) -> Answer | None:
+        """The answer, or None when a value is to follow."""
+        tokens = line.split(b" ")
+        kind, flags = tokens[0], tokens[1:]
+        if kind == b"SERVER_ERROR":
+            busy = flags[:1] == [b"busy"]
+            return Answer(Outcome.FULL if busy else Outcome.ERROR, load=self._load(flags[1:]))
+        length = 0
+        if kind == b"VA":
+            if not flags or not flags[0].isdigit() or len(flags[0]) > 6 or int(flags[0]) > MAX_VALUE:
+                raise Malformed("bad length")
+            length = int(flags.pop(0))
+        if kind not in (b"VA", b"HD", b"EN") or flags[:1] != [b"O" + self._envelope.id]:
+            raise Malformed("not an answer to this command")
+        note = 1 if b"h1" in flags else 2 if b"h0" in flags else None
+        if note == 2 and b"Z" in flags:
+            note = 3
+        load = self._load(flags)
+        if kind == b"EN":
+            return Answer(Outcome.MISS, None, note, load)
+        if (kind == b"HD") != self._envelope.write:
+            raise Malformed("an answer of another kind")
+        if kind == b"VA":
+            self._value = length, Answer(Outcome.OK, None, note, load)
+            return None
+        receipt = next((f[1:] for f in flags if f[:1] == b"c"), None)
+        if receipt is None:
+            raise Malformed("no receipt")
+        return Answer(Outcome.OK, Served(receipt, receipt=True), note, load)
+
+    @staticmethod
+    def _load(flags: list[bytes]) -> dict[str, float]:
+        return load_report(flags[-1][1:]) if flags and flags[-1][:1] == b"L" else {}
+
+
+class CacheProbe:
+    """`stats load`: the load report of a cache server."""
+
+    def __init__(self) -> None:
+        self._reader = AnswerReader()
+        self._load: dict[str, float] = {}
+        self.reusable = False
+
+    def question(self) -> list[bytes]:
+        return [b"stats load\r\n"]
+
+    def feed(self, data: bytes) -> Answer | None:
+        self._reader.feed(data)
+        try:
+            while (line := self._reader.line()) is not None:
+                match line.split(b" "):
+                    case [b"STAT", name, value] if len(self._load) < 64:
+                        self._load |= load_report(name + b"=" + value)
+                    case [b"END"]:
+                        self.reusable = self._reader.empty
+                        return Answer(Outcome.OK, load=self._load)
+                    case [b"SERVER_ERROR", b"busy", *_]:
+                        return Answer(Outcome.FULL)
+                    case _:
+                        return Answer(Outcome.ERROR)
+        except Malformed:
+            return Answer(Outcome.ERROR)
+        return None
+
+    def end(self) -> Answer | None:
+        return None
--- /dev/null
+++ b/flintridge/net/origin.py
@@ -0,0 +1,135 @@
+"""The origin's HTTP/1.1, by h11: one exchange a state machine, fed bytes."""
+
+from urllib.parse import quote
+
+import h11
+
+from flintridge.api import Outcome
+from flintridge.net.envelope import Answer, Envelope, Served
+from flintridge.net.memcache import MAX_VALUE, load_report
+
+
+class HttpExchange:
+    """One request and its whole response; bounded, and never raising on what the other end sends."""
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes = b"",
+        limit: int = MAX_VALUE,
+    ) -> None:
+        self._head = h11.Request(method=method, target=target, headers=headers)
+        self._body = body
+        self._limit = limit
+        self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
+        self._response: h11.Response | None = None
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.reusable = False
+
+    def question(self) -> list[bytes]:
+        parts = list(self._connection.send_with_data_passthrough(self._head) or ())
+        if self._body:
+            parts += self._connection.send_with_data_passthrough(h11.Data(data=self._body)) or ()
+        parts += self._connection.send_with_data_passthrough(h11.EndOfMessage()) or ()
+        return parts
+
+    def feed(self, data: bytes) -> tuple[h11.Response, bytes] | None:
+        """The response and its body once whole; raises h11.RemoteProtocolError."""
+        self._connection.receive_data(data)
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
+                return None
+            if isinstance(event, h11.Response):
+                self._response = event
+            elif isinstance(event, h11.Data):
+                self._size += len(event.data)
+                if self._size > self._limit:
+                    raise h11.RemoteProtocolError("body too large")
+                self._parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                states = self._connection.states
+                left, closed = self._connection.trailing_data
+                self.reusable = set(states.values()) == {h11.DONE} and not left and not closed
+                assert self._response is not None
+                return self._response, b"".join(self._parts)
+
+
+def header(response: h11.Response, name: bytes) -> bytes | None:
+    return next((value for key, value in response.headers if key == name), None)
+
+
+class OriginExchange:
+    """A read or a write at the origin. A malformed answer ends as an error: it may have run."""
+
+    def __init__(self, envelope: Envelope, host: str) -> None:
+        headers = [(b"Host", host.encode()), (b"Req-Id", envelope.id), (b"Req-Extra", envelope.extras)]
+        if envelope.value is not None:
+            headers.append((b"Content-Length", b"%d" % len(envelope.value)))
+        target = b"/" + quote(envelope.key, safe="!$&'()*+,;=:@/-._~").encode()
+        self._write = envelope.write
+        method = b"PUT" if self._write else b"GET"
+        self._http = HttpExchange(method, target, headers, envelope.value or b"")
+
+    @property
+    def reusable(self) -> bool:
+        return self._http.reusable
+
+    def question(self) -> list[bytes]:
+        return self._http.question()
+
+    def feed(self, data: bytes) -> Answer | None:
+        try:
+            found = self._http.feed(data)
+        except h11.RemoteProtocolError:
+            return Answer(Outcome.ERROR)
+        return self._answer(*found) if found else None
+
+    def end(self) -> Answer | None:
+        """A body without a length ends with the connection; anything else is cut short."""
+        try:
+            found = self._http.feed(b"")
+        except h11.RemoteProtocolError:
+            return None
+        return self._answer(*found) if found else None
+
+    def _answer(self, response: h11.Response, body: bytes) -> Answer:
+        load = load_report(header(response, b"srv-load") or b"")
+        if response.status_code == 200:
+            if self._write and not (body.isascii() and body and all(33 <= byte < 127 for byte in body)):
+                return Answer(Outcome.ERROR)  # no receipt that could be passed on in a line
+            return Answer(Outcome.OK, Served(body, receipt=self._write), load=load)
+        # Only the origin's own word proves that it never ran: a bare 503 may come from anything between.
+        declined = response.status_code in (503, 504) and header(response, b"srv-declined") == b"1"
+        return Answer(Outcome.FULL if declined else Outcome.ERROR, load=load)
+
+
+class OriginProbe:
+    """The origin's load report."""
+
+    def __init__(self, host: str) -> None:
+        self._http = HttpExchange(b"GET", b"/-/load", [(b"Host", host.encode())])
+
+    @property
+    def reusable(self) -> bool:
+        return self._http.reusable
+
+    def question(self) -> list[bytes]:
+        return self._http.question()
+
+    def feed(self, data: bytes) -> Answer | None:
+        try:
+            found = self._http.feed(data)
+        except h11.RemoteProtocolError:
+            return Answer(Outcome.ERROR)
+        if not found:
+            return None
+        response, body = found
+        report = load_report(header(response, b"srv-load") or body)
+        return Answer(Outcome.OK if response.status_code == 200 else Outcome.ERROR, load=report)
+
+    def end(self) -> Answer | None:
+        return None
--- /dev/null
+++ b/flintridge/net/sender.py
@@ -0,0 +1,217 @@
+"""The sender side: the listener, its connections, and answers in the order of their commands."""
+
+import asyncio
+from collections import deque
+
+from flintridge.api import Settings
+from flintridge.net import memcache
+from flintridge.net.clock import Clock, OutOfTime, sleep, within
+from flintridge.net.core import Core, IdInUse
+from flintridge.net.counters import Counters
+from flintridge.net.envelope import Envelope, Served
+from flintridge.net.log import Log
+from flintridge.net.transport_map import TransportMap
+from flintridge.settings import Address
+
+PIPELINED = 16  # commands of a connection that may await their answers; it is read no further meanwhile
+UNREAD = 128 * 1024  # bytes of answers that a client has yet to read; nor is it read beyond this
+SLOW_READER = 5_000.0  # so long it may stay beyond; then it is cut off
+LINGER = 400.0  # after SIGTERM, until which new connections keep coming and idle ones stay open
+LAST_BYTES = 1_000.0  # at the end, for answers that clients are still reading
+SERVING = 700.0  # after SIGTERM, until which what arrives is served
+
+
+class Slot:
+    """The place of one command's answer among those of its connection; the Reply of its request."""
+
+    __slots__ = ("connection", "id", "parts", "uid")
+
+    def __init__(self, connection: "SenderConnection", id_: bytes = b"") -> None:
+        self.connection = connection
+        self.id = id_
+        self.uid: str | None = None  # of a request that the core holds
+        self.parts: list[bytes] | None = None
+
+    def served(self, served: Served) -> None:
+        self.fill(memcache.served_parts(self.id, served))
+
+    def defer(self, retry_after_ms: float) -> None:
+        self.fill(memcache.defer_parts(retry_after_ms))
+
+    def failed(self) -> None:
+        self.fill([memcache.FAILED])
+
+    def fill(self, parts: list[bytes]) -> None:
+        self.parts = parts
+        self.connection.flush()
+
+
+class SenderConnection:
+    """One client's connection."""
+
+    def __init__(
+        self, side: "SenderSide", reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._side = side
+        self._reader = reader
+        self._writer = writer
+        self._parser = memcache.CommandParser(side.settings)
+        self._slots: deque[Slot] = deque()
+        self._moved = asyncio.Event()  # a slot became free
+        self.used_at = side.clock.now()
+        writer.transport.set_write_buffer_limits(high=UNREAD)
+
+    @property
+    def idle(self) -> bool:
+        """Between requests: nothing is owed and nothing more has arrived, as far as was read."""
+        return not self._slots and self._parser.idle
+
+    @property
+    def unwritten(self) -> bool:
+        return self._writer.transport.get_write_buffer_size() > 0
+
+    async def serve(self) -> None:
+        try:
+            while data := await self._reader.read(65536):
+                self.used_at = self._side.clock.now()
+                for command in self._parser.feed(data):
+                    if not self._take(command):
+                        await self._finish()
+                        return
+                    while len(self._slots) >= PIPELINED:
+                        self._moved.clear()
+                        await self._moved.wait()
+                await within(self._side.clock, SLOW_READER, self._writer.drain())
+        except OutOfTime:
+            self._side.counters.add("slow_readers")
+            self._writer.transport.abort()
+        except OSError:
+            pass  # the client's end of the connection: gone like any other
+        finally:
+            self._end()
+
+    def _take(self, command: Envelope | memcache.Hello | memcache.BadCommand) -> bool:
+        """Whether the connection goes on."""
+        slot = Slot(self, command.id if isinstance(command, Envelope) else b"")
+        self._slots.append(slot)
+        if isinstance(command, memcache.BadCommand):
+            self._side.counters.add("bad_commands")
+            slot.fill(memcache.bad_command_parts(command.reason))
+            return not command.fatal
+        if isinstance(command, memcache.Hello):
+            slot.fill([memcache.HELLO if self._side.ready else memcache.NOT_YET])
+            return True
+        try:
+            slot.uid = command.id.decode("ascii")
+            self._side.core.submit(command, slot)
+        except IdInUse:
+            slot.uid = None
+            slot.fill(memcache.bad_command_parts("id in use"))
+        return True
+
+    def flush(self) -> None:
+        """Write what is answered, up to the first command that is not."""
+        parts: list[bytes] = []
+        while self._slots and (answer := self._slots[0].parts) is not None:
+            parts += answer
+            self._slots.popleft()
+        if parts and not self._writer.is_closing():
+            self._writer.writelines(parts)
+            self.used_at = self._side.clock.now()
+            self._moved.set()
+            self._side.between_requests(self)
+
+    async def _finish(self) -> None:
+        """Framing is lost: answer what is owed, then close."""
+        while self._slots:
+            self._moved.clear()
+            await self._moved.wait()
+        await within(self._side.clock, SLOW_READER, self._writer.drain())
+
+    def _end(self) -> None:
+        slots, self._slots = self._slots, deque()
+        for slot in slots:
+            if slot.uid is not None and slot.parts is None:
+                self._side.core.gone(slot.uid)
+        self.close()
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class SenderSide:
+    def __init__(
+        self,
+        core: Core,
+        settings: Settings,
+        transports: TransportMap,
+        clock: Clock,
+        room: int,
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        self.core = core
+        self.settings = settings
+        self.clock = clock
+        self.counters = counters
+        self._transports = transports
+        self._room = room
+        self._log = log
+        self._server: asyncio.Server | None = None
+        self._connections: set[SenderConnection] = set()
+        self._leaving = False  # connections are closed between requests
+
+    @property
+    def ready(self) -> bool:
+        return self._server is not None and self._transports.serving
+
+    async def listen(self, address: Address) -> int:
+        """Open the listener; the port."""
+        self._server = await asyncio.start_server(self._accepted, address.host, address.port, backlog=512)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._connections) >= self._room and not self._free_one():
+            self.counters.add("connections_turned_away")
+            writer.close()
+            return
+        self.counters.add("connections_accepted")
+        connection = SenderConnection(self, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        except Exception as error:
+            self.counters.add("connection_errors")
+            self._log.error("connection_broke", error)
+        finally:
+            self._connections.discard(connection)
+
+    def _free_one(self) -> bool:
+        idle = [c for c in self._connections if c.idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda c: c.used_at)
+        self._connections.discard(oldest)
+        oldest.close()
+        return True
+
+    def between_requests(self, connection: SenderConnection) -> None:
+        if self._leaving and connection.idle:
+            connection.close()
+
+    async def leave(self) -> None:
+        """After SIGTERM: serve on for a while, then close each connection between requests; answer all."""
+        await sleep(self.clock, LINGER)
+        self._leaving = True
+        for connection in list(self._connections):
+            self.between_requests(connection)
+        await sleep(self.clock, SERVING - LINGER)
+        if self._server is not None:
+            self._server.close()
+        while not self.core.idle:  # each request's own deadline bounds this wait
+            await sleep(self.clock, 20.0)
+        for connection in list(self._connections):
+            connection.close()  # what was answered is still written out
+        until = self.clock.now() + LAST_BYTES
+        while any(c.unwritten for c in self._connections) and self.clock.now() < until:
+            await sleep(self.clock, 20.0)
--- /dev/null
+++ b/flintridge/net/transport_map.py
@@ -0,0 +1,223 @@
+"""The TransportMap: discovery's list of cache servers, how it is read, and the watch that keeps it fresh."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import orjson
+
+from flintridge.api import ListKind, Member, MemberList, MemberState, Settings
+from flintridge.net.clock import Clock, OutOfTime, sleep, to_ns, within
+from flintridge.net.counters import Counters
+from flintridge.net.log import Log
+from flintridge.net.origin import HttpExchange
+from flintridge.settings import Address, ConfigError, NodeConfig
+
+PHASES = {
+    "in_service": MemberState.READY,
+    "terminating": MemberState.DRAINING,
+    "terminated": MemberState.GONE,
+}
+WAIT = 4_000.0  # of a watch; short, so that a link to discovery that fell silent is noticed soon
+ANSWER_TIME = 2_000.0  # beyond the wait
+LIST_TIME = 3_000.0  # of a call that does not wait
+PACE = 100.0  # between the starts of two watch calls; the next must come within 200 ms of an answer
+MAX_LIST = 4 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Transport:
+    address: Address
+    origin: bool
+
+
+class TransportMap:
+    """Servers by id; an address is only where one is found at present."""
+
+    def __init__(
+        self, zones: tuple[str, ...], kinds: tuple[str, ...], settings: Settings, clock: Clock
+    ) -> None:
+        self._zones = {name: i for i, name in enumerate(zones)}
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._origin_kind = settings.origin_kind
+        self._clock = clock
+        self._transports: dict[str, Transport] = {}
+        self._in_service: set[str] = set()
+        self.revision = 0
+
+    def __getitem__(self, server: str) -> Transport:
+        return self._transports[server]
+
+    @property
+    def serving(self) -> bool:
+        return bool(self._in_service)
+
+    def read(self, text: bytes) -> MemberList:
+        try:
+            listed = orjson.loads(text)
+        except orjson.JSONDecodeError as error:
+            raise ValueError(f"the list is not JSON: {error}") from error
+        return self.take(listed)
+
+    def take(self, listed: Any, kind: ListKind | None = None) -> MemberList:
+        """A list or a change of it; ValueError, and nothing is changed, if any of it is malformed."""
+        try:
+            revision, complete = listed["revision"], listed["complete"]
+            if not isinstance(revision, int) or not isinstance(complete, bool):
+                raise ValueError("revision or complete is of the wrong kind")
+            read = [self._member(entry) for entry in listed["members"]]
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
+            raise ValueError(f"malformed list: {error!r}") from error
+        if complete:
+            self._in_service.clear()
+        for member, transport in read:
+            self._in_service.discard(member.server)
+            if member.state is MemberState.READY:
+                self._in_service.add(member.server)
+            if transport is not None:  # what is gone keeps its last address: attempts may be out
+                self._transports[member.server] = transport
+        self.revision = revision
+        kind = kind or (ListKind.FULL if complete else ListKind.DELTA)
+        return MemberList(kind, revision, tuple(member for member, _ in read))
+
+    def _member(self, entry: dict[str, Any]) -> tuple[Member, Transport | None]:
+        server, state = entry["id"], PHASES[entry["phase"]]
+        if not isinstance(server, str) or not server:
+            raise ValueError("bad id")
+        kind = self._kinds.get(entry.get("flavor"), -2)
+        gone = state is MemberState.GONE and not entry.get("host_port")
+        transport = None if gone else Transport(Address.parse(entry["host_port"]), kind == self._origin_kind)
+        up_since, size = entry.get("up_since_ms") or 0, entry.get("size")
+        # An instant before this clock's origin is long ago; 0 itself would mean that to the module too.
+        started = to_ns(self._clock.from_unix(float(up_since))) if up_since else 0
+        weight = 1.0 if size is None else float(size)
+        zone = self._zones.get(entry.get("locality"), -1)
+        return Member(server, state, weight, int(entry.get("cell") or 0), kind, started, zone), transport
+
+
+class TransportWatch:
+    """Asks discovery; each call's failure is told as such, and when to ask again is the module's decision."""
+
+    def __init__(
+        self,
+        discovery: Address,
+        transports: TransportMap,
+        clock: Clock,
+        tell: Callable[[MemberList], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        self._discovery = discovery
+        self._transports = transports
+        self._clock = clock
+        self._tell = tell
+        self._log = log
+        self._counters = counters
+        self._watching: asyncio.Task[None] | None = None
+        self._fetching: asyncio.Task[None] | None = None
+
+    def watch(self, on: bool) -> None:
+        """Subscribe, or end the subscription; while one goes on another would be a call too many."""
+        running = self._watching is not None and not self._watching.done()
+        if on and not running:
+            self._watching = asyncio.ensure_future(self._watch())
+        elif not on and self._watching is not None:
+            self._watching.cancel()
+
+    def fetch(self) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.ensure_future(self._fetch())
+
+    async def close(self) -> None:
+        tasks = [task for task in (self._watching, self._fetching) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _fetch(self) -> None:
+        call = _Call(self._discovery)
+        try:
+            text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
+            self._told(text)
+        except (OSError, ValueError, OutOfTime, h11.RemoteProtocolError) as error:
+            self._failed(error)
+        finally:
+            call.close()
+
+    async def _watch(self) -> None:
+        call = _Call(self._discovery)
+        try:
+            while True:
+                began = self._clock.now()
+                target = f"/api/targets?after={self._transports.revision}&wait_ms={WAIT:.0f}"
+                text = await within(self._clock, WAIT + ANSWER_TIME, call.get(target))
+                self._told(text)
+                # Guards discovery against a list that answers at once, time after time.
+                pause = began + PACE - self._clock.now()
+                if pause > 0:
+                    await sleep(self._clock, pause)
+        except (OSError, ValueError, OutOfTime, h11.RemoteProtocolError) as error:
+            self._watching = None  # so that the module may ask again at once
+            self._failed(error)
+        finally:
+            call.close()
+
+    def _told(self, text: bytes) -> None:
+        members = self._transports.read(text)
+        self._counters.add("transport_map_answers")
+        if members.members:
+            states = {m.server: m.state.value for m in members.members}
+            self._log.event(
+                "transport_map", kind=members.kind.value, revision=members.version, members=states
+            )
+        self._tell(members)
+
+    def _failed(self, error: Exception) -> None:
+        self._counters.add("transport_map_failures")
+        self._log.event("transport_map_failed", error=repr(error))
+        self._tell(MemberList(ListKind.FAILED))
+
+
+class _Call:
+    """GETs on one connection, opened when there is none."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def get(self, target: str) -> bytes:
+        if self._streams is not None and (self._streams[0].at_eof() or self._streams[1].is_closing()):
+            self.close()
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(self._address.host, self._address.port)
+        reader, writer = self._streams
+        host = f"{self._address.host}:{self._address.port}".encode()
+        exchange = HttpExchange(b"GET", target.encode(), [(b"Host", host)], limit=MAX_LIST)
+        writer.writelines(exchange.question())
+        await writer.drain()
+        while (found := exchange.feed(data := await reader.read(65536))) is None:
+            if not data:
+                raise ConnectionResetError("discovery ended the connection")
+        if not exchange.reusable:
+            self.close()
+        response, body = found
+        if response.status_code != 200:
+            raise ValueError(f"discovery answered {response.status_code}")
+        return body
+
+    def close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
+def known_list(config: NodeConfig, transports: TransportMap) -> MemberList:
+    """The list in the configuration, which may be old."""
+    if config.known is None:
+        return MemberList(ListKind.CACHED)
+    try:
+        return transports.take(config.known, ListKind.CACHED)
+    except ValueError as error:
+        raise ConfigError(f"known: {error}") from error
--- /dev/null
+++ b/flintridge/settings.py
@@ -0,0 +1,187 @@
+"""The settings object of an instance, and the configuration file of a real node, as typed values."""
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from flintridge import api
+
+EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
+
+# Names in the settings -> names in api.py; whatever is not named here is skipped.
+CLASS_KEYS = {
+    "name": "name",
+    "sloNs": "aim_ns",
+    "hardLimitNs": "deadline_ns",
+    "points": "worth",
+    "lateShare": "late_share",
+    "effect": "effect",
+    "group": "group",
+    "windowNs": "window_ns",
+    "stream": "stream",
+    "aimStretch": "aim_stretch",
+}
+TENANT_KEYS = {"name": "name", "quotaPerS": "quota_per_s", "share": "share"}
+RULE_KEYS = {
+    "answerSlackNs": "answer_slack_ns",
+    "askWithinNs": "ask_within_ns",
+    "drainGraceNs": "drain_grace_ns",
+    "coldShare": "cold_share",
+    "coldNs": "cold_ns",
+    "fallMultiple": "fall_multiple",
+    "fallNs": "fall_ns",
+}
+LIMIT_KEYS = {
+    "attemptsCap": "max_attempts",
+    "parallelTries": "second_copies",
+    "cancel": "cancel",
+    "probes": "probes",
+    "mayTell": "peers",
+    "retryAfter": "retry_after",
+    "maxRetryAfterNs": "max_retry_after_ns",
+    "maxOpen": "max_open",
+    "connectTimeoutNs": "connect_timeout_ns",
+    "connIdleNs": "conn_idle_ns",
+}
+PRICE_KEYS = {
+    "crossZone": "cross_zone",
+    "waste": "waste",
+    "lateFail": "late_fail",
+    "connection": "connection",
+    "handshake": "handshake",
+    "origin": "origin",
+    "probe": "probe",
+    "peer": "peer",
+    "moves": "moves",
+    "discovery": "discovery",
+}
+GOAL_KEYS = {
+    "whole": "whole",
+    "worstWindow": "worst_window",
+    "worstClass": "worst_class",
+    "worstTenant": "worst_tenant",
+    "tail": "tail",
+    "tailSlack": "tail_slack",
+    "availability": "availability",
+    "fullAtNines": "full_at_nines",
+}
+TOP_KEYS = {
+    "fleetSize": "fleet_size",
+    "selfIndex": "self_index",
+    "zone": "zone",
+    "overShareWorth": "over_share_worth",
+}
+
+
+def _known(source: dict[str, Any], names: dict[str, str]) -> dict[str, Any]:
+    return {ours: source[theirs] for theirs, ours in names.items() if source.get(theirs) is not None}
+
+
+def class_from(config: dict[str, Any]) -> api.RequestClass:
+    values = _known(config, CLASS_KEYS)
+    if "effect" in values:
+        values["effect"] = EFFECTS[values["effect"]]
+    if "group" in values:
+        values["group"] = api.Group(values["group"])
+    return api.RequestClass(**values)
+
+
+def settings_from(config: dict[str, Any]) -> api.Settings:
+    """The settings an instance is given; absent keys take the defaults of api.py."""
+    family = config.get("familyInfo", {})
+    values = _known(config, TOP_KEYS)
+    if config.get("services"):
+        values["classes"] = tuple(class_from(c) for c in config["services"])
+    return api.Settings(
+        **values,
+        tenants=tuple(api.Tenant(**_known(t, TENANT_KEYS)) for t in config.get("tenants") or ()),
+        rules=api.Rules(**_known(config.get("rules", {}), RULE_KEYS)),
+        limits=api.Limits(**_known(config.get("permissions", {}), LIMIT_KEYS)),
+        prices=api.Prices(**_known(config.get("prices", {}), PRICE_KEYS)),
+        goal=api.Goal(**_known(config.get("goal", {}), GOAL_KEYS)),
+        discovery=api.Discovery(config.get("discovery", "pushed")),
+        mode=api.CacheMode(family.get("mode", "through")),
+        origin_kind=family.get("originKind", -1),
+        report=api.ReportHow(config.get("report", {}).get("how", "none")),
+        worth_by_work=config.get("worthBy") == "work",
+    )
+
+
+class ConfigError(ValueError):
+    """A configuration that no node can be started with; its text is one line for the operator."""
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: Any) -> "Address":
+        if not isinstance(text, str):
+            raise ValueError(f"{text!r} is not an address")
+        host, _, port = text.rpartition(":")
+        ipaddress.ip_address(host.strip("[]"))  # names cannot be resolved where nodes run
+        if not port.isdecimal() or not 0 <= int(port) < 65536:
+            raise ValueError(f"{text!r} has no port")
+        return cls(host.strip("[]"), int(port))
+
+
+@dataclass(slots=True, frozen=True)
+class NodeConfig:
+    """What a real node is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    zones: tuple[str, ...] = ()  # by position, as the module counts them
+    kinds: tuple[str, ...] = ()
+    known: Any = None  # the list of cache servers as last held, in discovery's form
+    sockets: int = 1024
+
+
+def node_config(config: Any, env: Mapping[str, str]) -> NodeConfig:
+    """The configuration's JSON object; what it leaves out is taken from the environment."""
+    if not isinstance(config, dict):
+        raise ConfigError("the configuration is not a JSON object")
+    part = "settings"
+    try:
+        source = config["settings"]
+        if not isinstance(source, dict):
+            raise ValueError("not an object")
+        settings = settings_from(source)
+        zones, kinds = (tuple(map(str, source.get(k) or ())) for k in ("zones", "kinds"))
+        part = "listen"
+        listen = Address.parse(config.get(part) or env.get("PROXY_LISTEN"))
+        part = "discovery"
+        discovery = Address.parse(config.get(part) or env.get("PROXY_DISCOVERY"))
+        part = "seed"
+        seed = int(str(config.get(part, "0")), 16)
+        part = "limits"
+        sockets = int((config.get(part) or {}).get("sockets", 1024))
+        if sockets < 32:
+            raise ValueError(f"{sockets} sockets are too few")
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{part}: {str(error) or type(error).__name__}") from error
+    name = str(config.get("name") or env.get("PROXY_NAME") or "node")
+    return NodeConfig(name, listen, discovery, seed, settings, zones, kinds, config.get("known"), sockets)
+
+
+def load_config(env: Mapping[str, str] = os.environ) -> NodeConfig:
+    path = env.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set: it names the configuration file")
+    try:
+        with open(path, "rb") as file:
+            config = orjson.loads(file.read())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
+    return node_config(config, env)
