Test the node: parsers cut at random, core and drivers on a set clock, the real program

Checked: every Send ends once, first OK passed on at once, MOOT when late or over the cap, outcomes by bytes, pool reuse, the watch's pace, ordered answers, EOF as ClientGone, SIGTERM, one clear line for a wrong configuration. In a first draft two tests hung: peers that left their half of a connection open, and client writers that were collected as garbage; both were the tests' own faults, the node was not changed. The start of a server is now never 0 on the node's clock, which the module reads as long ago.

--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -90,8 +90,8 @@
         gone = state is MemberState.GONE and not entry.get("host_port")
         transport = None if gone else Transport(Address.parse(entry["host_port"]), kind == self._origin_kind)
         up_since, size = entry.get("up_since_ms") or 0, entry.get("size")
-        # An instant before this clock's origin is long ago; 0 itself would mean that to the module too.
-        started = to_ns(self._clock.from_unix(float(up_since))) if up_since else 0
+        # 0 is long ago, to discovery and to the module alike; the instant of a start is never that.
+        started = to_ns(self._clock.from_unix(float(up_since))) or 1 if up_since else 0
         weight = 1.0 if size is None else float(size)
         zone = self._zones.get(entry.get("locality"), -1)
         return Member(server, state, weight, int(entry.get("cell") or 0), kind, started, zone), transport
--- /dev/null
+++ b/tests/net_helpers.py
@@ -0,0 +1,132 @@
+"""What the network tests share: a clock that is set by hand, settings, and in-test peers on loopback."""
+
+import asyncio
+import heapq
+import io
+import itertools
+
+from hypothesis import settings as hypothesis_settings
+
+from flintridge import api
+from flintridge.net.clock import NS
+from flintridge.net.counters import Counters
+from flintridge.net.envelope import Envelope, Served
+from flintridge.net.log import Log
+
+FIXED = hypothesis_settings(derandomize=True, deadline=None, database=None, max_examples=150)
+SETTINGS = api.Settings(
+    classes=(
+        api.RequestClass(name="read", deadline_ns=2000 * NS),
+        api.RequestClass(name="put", deadline_ns=3000 * NS, effect=api.Effect.KEYED, window_ns=2500 * NS),
+    ),
+    tenants=(api.Tenant(name="acme"),),
+    limits=api.Limits(max_attempts=3, cancel=True, retry_after=True, max_retry_after_ns=2000 * NS),
+    mode=api.CacheMode.ASIDE,
+    origin_kind=1,
+    discovery=api.Discovery.ON_REQUEST,
+)
+
+
+class HandClock:
+    """Stands still until `go`; calls what falls due on the way, in order."""
+
+    def __init__(self, at: float = 10_000.0) -> None:
+        self.at = at
+        self.due: list[list] = []
+        self.order = itertools.count()
+
+    def now(self) -> float:
+        return self.at
+
+    def from_unix(self, unix_ms: float) -> float:
+        return unix_ms - 500.0
+
+    def call_at(self, at, call, *args):
+        entry = HandTimer([at, next(self.order), call, args])
+        heapq.heappush(self.due, entry)
+        return entry
+
+    def go(self, ms: float) -> None:
+        until = self.at + ms
+        while self.due and self.due[0][0] <= until:
+            at, _, call, args = heapq.heappop(self.due)
+            self.at = max(self.at, at)
+            if call is not None:
+                call(*args)
+        self.at = until
+
+
+class HandTimer(list):
+    def cancel(self) -> None:
+        self[2] = None
+
+
+class Replies:
+    """A Reply that remembers."""
+
+    def __init__(self) -> None:
+        self.said: list = []
+
+    def served(self, served: Served) -> None:
+        self.said.append(served.body)
+
+    def defer(self, retry_after_ms: float) -> None:
+        self.said.append(("busy", retry_after_ms))
+
+    def failed(self) -> None:
+        self.said.append("failed")
+
+
+def envelope(uid: str = "a1", value: bytes | None = None, wait: float | None = 480.0, **changes) -> Envelope:
+    extras = b"c=read,t=acme,d=480,k=5c0f"
+    return Envelope(uid.encode(), b"key7", extras, (16, 19), value, wait_ms=wait, **changes)
+
+
+def quiet() -> tuple[Log, Counters]:
+    return Log("test", io.BytesIO()), Counters()
+
+
+async def until(true, turns: int = 5000) -> None:
+    """Let the event loop go on until something holds; bounded by turns, not by time."""
+    for _ in range(turns):
+        if true():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError("it never came to hold")
+
+
+class Peer:
+    """A server on an ephemeral port; `answer` makes of what is read: bytes, None to end, "rst" to reset."""
+
+    def __init__(self, answer) -> None:
+        self.answer = answer
+        self.got: list[bytes] = []
+        self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> "Peer":
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        while data := await reader.read(1 << 20):
+            self.got.append(data)
+            answer = self.answer(data)
+            if answer == b"":
+                continue
+            if answer is None:
+                writer.close()
+                return
+            if answer == "rst":
+                writer.transport.abort()
+                return
+            writer.write(answer)
+        writer.close()
--- /dev/null
+++ b/tests/test_net_core.py
@@ -0,0 +1,189 @@
+"""The core on a clock set by hand: events in order, one end an attempt, one final answer a request."""
+
+import pytest
+from net_helpers import SETTINGS, HandClock, Replies, envelope, quiet
+
+from flintridge import api
+from flintridge.api import Outcome
+from flintridge.net.clock import to_ns
+from flintridge.net.core import Core, IdInUse
+from flintridge.net.envelope import Answer, Served
+
+OK = Answer(Outcome.OK, Served(b"value", receipt=False))
+
+
+class Script:
+    """Stands for the module: remembers events and answers them as the test says."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[int, api.Event]] = []
+        self.answers = {}
+        self.inside = False
+
+    def handle(self, now, event):
+        assert not self.inside, "handle is not re-entrant"
+        self.inside = True
+        self.events.append((now, event))
+        actions = self.answers.get(type(event), lambda _: [])(event)
+        self.inside = False
+        return actions
+
+    def ends(self) -> list[tuple[int, Outcome, bool]]:
+        return [(e.attempt, e.outcome, e.final) for _, e in self.events if isinstance(e, api.AttemptEnded)]
+
+
+class Node:
+    """The core between a script and drivers that only remember."""
+
+    def __init__(self) -> None:
+        self.clock, self.script, self.replies = HandClock(), Script(), Replies()
+        self.log, self.counters = quiet()
+        self.core = Core(self.script, SETTINGS, self.clock, self.log, self.counters)
+        self.attempts, self.done = [], []
+        self.core.attach(self, self)
+
+    def start(self, attempt) -> None:
+        attempt.give_up = lambda: self.done.append(("given up", attempt.number))
+        self.attempts.append(attempt)
+
+    def probe(self, server, done) -> None:
+        done(Answer(Outcome.OK, load={"qps": 3.0}))
+
+    def close_idle(self, server) -> None:
+        self.done.append(("close", server))
+
+    def watch(self, on) -> None:
+        self.done.append(("watch", on))
+
+    def fetch(self) -> None:
+        self.done.append("fetch")
+
+    def on(self, kind, *actions) -> None:
+        self.script.answers[kind] = lambda _: list(actions)
+
+    def ask(self, **changes) -> None:
+        self.core.submit(envelope(**changes), self.replies)
+
+    def ring(self, *actions) -> None:
+        """Have the module act now."""
+        self.on(api.MemberList, *actions)
+        self.core.told(api.MemberList(api.ListKind.DELTA))
+
+
+SEND = api.Send("a1", "s1")
+
+
+def test_a_request_reaches_the_module_in_its_terms():
+    node = Node()
+    node.ask(value=b"v", cls=1, retry=True, work_us=12000.5, size=3.0)
+    now, event = node.script.events[0]
+    assert now == to_ns(10_000) and event.deadline == to_ns(10_470)  # early, for the way back
+    assert (event.id, event.key, event.write, event.cls, event.retry) == ("a1", "key7", True, 1, True)
+    assert (event.work_ns, event.size) == (12_000_500, 3.0)
+
+
+@pytest.mark.parametrize(("wait", "due"), [(None, 11_990), (9e9, 11_990), (10.0, 10_009), (0.0, 10_000)])
+def test_the_clients_patience_bounds_the_deadline(wait, due):
+    node = Node()
+    node.ask(wait=wait)
+    assert node.script.events[0][1].deadline == to_ns(due)
+
+
+def test_the_first_ok_is_passed_on_before_the_module_is_told():
+    node = Node()
+    node.on(api.Request, SEND, SEND)
+    node.script.answers[api.AttemptEnded] = lambda e: node.done.append(list(node.replies.said)) or []
+    node.ask()
+    node.clock.go(30)
+    node.core.attempt_ended(node.attempts[1], OK)
+    assert node.replies.said == [b"value"] and node.done == [[b"value"]]
+    node.core.attempt_ended(node.attempts[0], Answer(Outcome.OK, Served(b"second", receipt=False)))
+    assert node.replies.said == [b"value"]
+    assert node.script.ends() == [(1, Outcome.OK, True), (0, Outcome.OK, True)]
+    assert node.script.events[1][1].latency_ns == to_ns(30)
+
+
+def test_every_send_ends_once_also_after_the_final_answer():
+    node = Node()
+    node.on(api.Request, SEND)
+    node.ask()
+    node.ring(api.Refuse("a1", to_ns(9000)), api.Fail("a1"), SEND)
+    assert node.replies.said == [("busy", 2000.0)]  # once, and capped by the settings
+    assert node.script.ends() == [(1, Outcome.MOOT, True)]
+    node.core.attempt_ended(node.attempts[0], Answer(Outcome.RESET))
+    node.core.attempt_ended(node.attempts[0], OK)
+    assert node.script.ends() == [(1, Outcome.MOOT, True), (0, Outcome.RESET, True)]
+    assert node.core.idle and len(node.attempts) == 1
+
+
+def test_sends_over_the_cap_or_too_late_are_moot_and_the_cap_counts_all():
+    node = Node()
+    node.on(api.Request, SEND, SEND, SEND, SEND)
+    node.ask()
+    assert node.script.ends() == [(3, Outcome.MOOT, False)] and len(node.attempts) == 3
+    late = Node()
+    late.ask(wait=0.0)
+    late.ring(SEND, api.Send("a1", "s1", -5))
+    assert [outcome for _, outcome, _ in late.script.ends()] == [Outcome.MOOT, Outcome.MOOT]
+
+
+def test_an_attempts_time_is_trimmed_to_the_deadline():
+    node = Node()
+    node.on(api.Request, SEND, api.Send("a1", "s1", to_ns(100)), api.Send("a1", "s1", to_ns(9000)))
+    node.ask()
+    assert [attempt.until for attempt in node.attempts] == [10_470, 10_100, 10_470]
+
+
+def test_events_that_actions_cause_wait_their_turn():
+    node = Node()  # Script itself fails on a call within a call
+    node.on(api.Request, api.Probe("s1"), api.Probe("s2"))
+    node.ask()
+    assert [getattr(e, "server", "") for _, e in node.script.events] == ["", "s1", "s2"]
+    assert node.script.events[1][1].load == {"qps": 3.0}
+
+
+def test_a_cancel_ends_the_attempt_and_gives_it_up():
+    node = Node()
+    node.on(api.Request, SEND)
+    node.ask()
+    node.ring(api.Cancel("a1", 0), api.Cancel("a1", 7), api.Cancel("other", 0))
+    assert node.done == [("given up", 0)] and node.script.ends() == [(0, Outcome.CANCELLED, False)]
+
+
+def test_a_client_that_left_is_owed_nothing_but_its_attempts_end():
+    node = Node()
+    node.on(api.Request, SEND)
+    node.ask()
+    node.core.gone("a1")
+    node.core.gone("a1")
+    with pytest.raises(IdInUse):  # its attempt may still run: the same id must not be begun anew
+        node.ask()
+    node.core.attempt_ended(node.attempts[0], OK)
+    assert node.replies.said == [] and node.script.ends() == [(0, Outcome.OK, True)]
+    assert sum(isinstance(e, api.ClientGone) for _, e in node.script.events) == 1
+    node.ask()
+
+
+def test_timers_ring_no_earlier_than_asked():
+    node = Node()
+    at = to_ns(10_250) + 1  # between what the float clock can tell and the next
+    node.ring(api.SetTimer(at, 5))
+    node.clock.go(250.001)
+    now, event = node.script.events[-1]
+    assert event == api.TimerFired(5) and now >= at
+
+
+def test_a_module_that_breaks_or_forgets_still_leaves_an_answer_in_time():
+    node = Node()
+    node.script.answers[api.Request] = lambda _: 1 // 0
+    node.script.handle = lambda now, event: 1 // 0
+    node.ask()
+    assert node.counters["module_errors"] == 1 and node.replies.said == []
+    node.clock.go(479)
+    assert node.replies.said == ["failed"] and node.core.idle
+
+
+def test_the_other_actions_reach_their_drivers():
+    node = Node()
+    node.ring(api.Watch(), api.Watch(False), api.FetchList(), api.CloseIdle("s1"), api.Log("hi"))
+    assert node.done == [("watch", True), ("watch", False), "fetch", ("close", "s1")]
--- /dev/null
+++ b/tests/test_net_drivers.py
@@ -0,0 +1,321 @@
+"""The drivers on loopback against in-test peers; time is set by hand."""
+
+import asyncio
+
+import orjson
+import pytest
+from net_helpers import SETTINGS, HandClock, Peer, envelope, quiet, until
+
+from flintridge import api
+from flintridge.api import ListKind, Outcome
+from flintridge.net.core import Core
+from flintridge.net.delivery import SWEEP, Delivery
+from flintridge.net.envelope import DeliveryAttempt
+from flintridge.net.sender import LINGER, PIPELINED, SERVING, SenderSide
+from flintridge.net.transport_map import TransportMap, TransportWatch
+from flintridge.settings import Address
+
+READ = b"mg key7 v O%b Pc=read,t=acme,d=480\r\n"
+VALUE = b"VA 2 Oa1\r\nok\r\n"
+
+
+class Bench:
+    """A Delivery towards one peer."""
+
+    def __init__(self, port: int, room: int = 8, flavor: str = "m2", settings=SETTINGS) -> None:
+        self.clock = HandClock()
+        self.transports = TransportMap((), ("m2", "origin"), settings, self.clock)
+        entry = {"id": "s1", "host_port": f"127.0.0.1:{port}", "flavor": flavor, "phase": "in_service"}
+        self.transports.take({"revision": 1, "complete": True, "members": [entry]})
+        self.ended: list = []
+        log, self.counters = quiet()
+        report = lambda attempt, answer: self.ended.append(answer.outcome)  # noqa: E731
+        self.delivery = Delivery(self.transports, settings, self.clock, room, report, log, self.counters)
+
+    async def carry(self, value=None, wait: float = 400.0) -> DeliveryAttempt:
+        now = self.clock.now()
+        attempt = DeliveryAttempt("a1", 0, "s1", envelope(value=value), now, now + wait)
+        self.delivery.start(attempt)
+        await asyncio.sleep(0)
+        return attempt
+
+    async def outcome(self, **changes) -> Outcome:
+        count = len(self.ended)
+        await self.carry(**changes)
+        await until(lambda: len(self.ended) > count)
+        return self.ended[-1]
+
+
+def play(test) -> None:
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [(VALUE, Outcome.OK), (b"EN Oa1\r\n", Outcome.MISS), (None, Outcome.RESET), ("rst", Outcome.RESET)],
+)
+def test_an_attempt_ends_as_its_server_has_it(answer, outcome):
+    async def test():
+        async with Peer(lambda _: answer) as peer:
+            bench = Bench(peer.port)
+            assert await bench.outcome() is outcome
+            await bench.delivery.close()
+
+    play(test)
+
+
+def test_a_refused_connection_never_ran():
+    async def test():
+        async with Peer(lambda _: None) as peer:
+            bench = Bench(peer.port)
+        await peer.server.wait_closed()
+        assert await bench.outcome() is Outcome.CONNECT_FAILED
+        await bench.delivery.close()
+
+    play(test)
+
+
+def test_a_break_before_the_last_byte_was_written_is_a_failed_connection():
+    async def test():
+        async def serve(reader, writer):  # takes the head and resets: the value does not fit the buffers
+            await reader.readexactly(10)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        bench = Bench(server.sockets[0].getsockname()[1])
+        assert await bench.outcome(value=b"x" * (16 << 20)) is Outcome.CONNECT_FAILED
+        await bench.delivery.close()
+        server.close()
+
+    play(test)
+
+
+def test_time_runs_out_as_a_timeout_once_asked_and_a_cancel_closes_the_connection():
+    async def test():
+        async with Peer(lambda _: b"") as peer:
+            bench = Bench(peer.port)
+            await bench.carry()
+            await until(lambda: peer.got)
+            bench.clock.go(399)
+            await asyncio.sleep(0)
+            assert bench.ended == []
+            bench.clock.go(1)
+            await until(lambda: bench.ended == [Outcome.TIMEOUT])
+            attempt = await bench.carry()
+            await until(lambda: len(peer.got) == 2)
+            attempt.give_up()
+            await until(lambda: bench.ended[1:] == [Outcome.CANCELLED])
+            await until(lambda: all(w.transport.is_closing() for w in peer.writers))
+            await bench.delivery.close()
+
+    play(test)
+
+
+def test_idle_connections_are_used_again_but_not_near_the_servers_limit_nor_at_their_end():
+    async def test():
+        settings = api.Settings(limits=api.Limits(conn_idle_ns=5_000_000_000))
+        async with Peer(lambda _: VALUE) as peer:
+            bench = Bench(peer.port, settings=settings)
+            for expected in (1, 1):
+                assert await bench.outcome() is Outcome.OK and peer.connections == expected
+            bench.clock.go(4000)  # four fifths of what the server allows: it may close at any moment
+            assert await bench.outcome() is Outcome.OK and peer.connections == 2
+            peer.writers[1].close()
+            await asyncio.sleep(0.01)
+            bench.clock.go(SWEEP)
+            assert await bench.outcome() is Outcome.OK and peer.connections == 3
+            bench.delivery.close_idle("s1")
+            assert await bench.outcome() is Outcome.OK and peer.connections == 4
+            await bench.delivery.close()
+
+    play(test)
+
+
+def test_one_attempt_a_connection_and_no_more_connections_than_there_is_room():
+    async def test():
+        async with Peer(lambda _: b"") as peer:
+            bench = Bench(peer.port, room=2)
+            for _ in range(3):
+                await bench.carry()
+            await until(lambda: len(peer.got) == 2 and bench.ended == [Outcome.CONNECT_FAILED])
+            assert peer.connections == 2
+            await bench.delivery.close()
+
+    play(test)
+
+
+def test_the_origin_is_asked_over_http_and_its_connection_is_used_again():
+    async def test():
+        text = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        async with Peer(lambda _: text) as peer:
+            bench = Bench(peer.port, flavor="origin")
+            for _ in range(2):
+                assert await bench.outcome() is Outcome.OK
+            assert peer.connections == 1 and peer.got[0].startswith(b"GET /key7 HTTP/1.1\r\n")
+            loads: list = []
+            bench.delivery.probe("s1", loads.append)
+            await until(lambda: loads)
+            assert peer.got[-1].startswith(b"GET /-/load ") and loads[0].outcome is Outcome.OK
+            await bench.delivery.close()
+
+    play(test)
+
+
+# The watch
+
+
+def response(status: int, body: bytes) -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+def test_the_watch_goes_on_from_each_answer_and_a_failure_is_told():
+    async def test():
+        clock, told = HandClock(), []
+        answers = [
+            response(200, orjson.dumps({"revision": 43, "complete": False, "members": []})),
+            response(200, b'{"revision":44}'),
+            response(503, b""),
+            response(200, orjson.dumps({"revision": 50, "complete": True, "members": []})),
+            b"",
+        ]
+        async with Peer(lambda _: answers.pop(0)) as peer:
+            transports = TransportMap((), (), SETTINGS, clock)
+            transports.take({"revision": 41, "complete": True, "members": []})
+            watch = TransportWatch(Address("127.0.0.1", peer.port), transports, clock, told.append, *quiet())
+            watch.watch(True)
+            watch.watch(True)  # never two at once
+            await until(lambda: len(told) == 1)
+            assert (told[0].kind, told[0].version) == (ListKind.DELTA, 43) and len(peer.got) == 1
+            await until(lambda: clock.due[0][2] is not None)
+            clock.go(150)  # well before the 200 ms that end a watch
+            await until(lambda: len(told) == 2)
+            assert b"after=43&wait_ms=" in peer.got[1] and told[1].kind is ListKind.FAILED
+            clock.go(60_000)
+            await asyncio.sleep(0.01)
+            assert len(peer.got) == 2  # when to ask again is the module's decision
+            watch.watch(True)
+            await until(lambda: len(told) == 3)
+            assert told[2].kind is ListKind.FAILED
+            watch.fetch()
+            await until(lambda: len(told) == 4)
+            assert b"GET /api/targets HTTP" in peer.got[3] and told[3].kind is ListKind.FULL
+            watch.watch(True)  # silence ends a call too
+            await until(lambda: len(peer.got) == 5)
+            clock.go(60_000)
+            await until(lambda: len(told) == 5)
+            assert told[4].kind is ListKind.FAILED
+            await watch.close()
+
+    play(test)
+
+
+# The sender side
+
+
+class Held:
+    """Stands for the module: leaves every request to the test."""
+
+    def handle(self, now, event):
+        return []
+
+
+class Side:
+    async def __aenter__(self) -> "Side":
+        self.clock, self.kept = HandClock(), []
+        log, self.counters = quiet()
+        self.core = Core(Held(), SETTINGS, self.clock, log, self.counters)
+        transports = TransportMap((), (), SETTINGS, self.clock)
+        entry = {"id": "s1", "host_port": "127.0.0.1:1", "phase": "in_service"}
+        self.members = {"revision": 1, "complete": True, "members": [entry]}
+        self.side = SenderSide(self.core, SETTINGS, transports, self.clock, 2, log, self.counters)
+        self.port = await self.side.listen(Address("127.0.0.1", 0))
+        self.transports = transports
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for uid in list(self.core._open):
+            self.core.gone(uid)
+        await asyncio.sleep(0.01)
+
+    async def client(self, *parts: bytes):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.writelines(parts)
+        self.kept.append(writer)  # a forgotten writer closes its connection
+        return reader, writer
+
+
+def test_answers_go_out_in_the_order_of_their_commands():
+    async def test():
+        async with Side() as s:
+            reader, writer = await s.client(READ % b"r1", READ % b"r2", b"what\r\n", b"mn\r\n", READ % b"r1")
+            await until(lambda: s.counters["requests"] == 2)
+            s.core._overdue("r2")
+            s.core._overdue("r1")
+            said = [await reader.readline() for _ in range(5)]
+            assert said[:3] == [b"SERVER_ERROR failed\r\n"] * 2 + [b"CLIENT_ERROR unknown command\r\n"]
+            assert said[3] == b"SERVER_ERROR starting\r\n"  # no server is known yet
+            assert said[4] == b"CLIENT_ERROR id in use\r\n"
+            s.transports.take(s.members)
+            writer.write(b"mn\r\nms k x Oa\r\nmn\r\n")
+            assert await reader.read() == b"MN\r\nCLIENT_ERROR bad data length\r\n"  # framing lost: it ends
+
+    play(test)
+
+
+def test_the_end_of_a_client_is_told_and_a_long_pipeline_waits():
+    async def test():
+        async with Side() as s:
+            _, writer = await s.client(*(READ % b"r%d" % i for i in range(PIPELINED + 5)))
+            await until(lambda: s.counters["requests"] == PIPELINED)
+            await asyncio.sleep(0.01)
+            assert s.counters["requests"] == PIPELINED
+            for i in range(PIPELINED):
+                s.core._overdue(f"r{i}")
+            await until(lambda: s.counters["requests"] == PIPELINED + 5)
+            writer.close()
+            await until(lambda: s.counters["clients_gone"] == 5)
+            assert s.core.idle
+
+    play(test)
+
+
+def test_with_no_room_an_idle_client_makes_place_and_a_busy_one_does_not():
+    async def test():
+        async with Side() as s:
+            idle, _ = await s.client()
+            await until(lambda: s.counters["connections_accepted"] == 1)
+            s.clock.go(1)
+            for i in range(2):
+                await s.client(READ % b"r%d" % i)
+                await until(lambda i=i: s.counters["requests"] == i + 1)
+            assert await idle.read() == b""
+            turned, _ = await s.client()
+            assert await turned.read() == b"" and s.counters["connections_turned_away"] == 1
+
+    play(test)
+
+
+def test_leaving_serves_what_arrives_closes_between_requests_and_answers_all():
+    async def test():
+        async with Side() as s:
+            idle, _ = await s.client()
+            busy, _ = await s.client(READ.replace(b"480", b"1900") % b"r1")
+            await until(lambda: s.counters["requests"] == 1)
+            leaving = asyncio.ensure_future(s.side.leave())
+            await asyncio.sleep(0)
+            s.clock.go(LINGER - 1)
+            assert not idle.at_eof()
+            s.clock.go(1)
+            assert await idle.read() == b""
+            _, late = await s.client(READ % b"r2")  # still served
+            await until(lambda: s.counters["requests"] == 2)
+            late.close()
+            await until(lambda: s.counters["clients_gone"] == 1)
+            s.clock.go(SERVING - LINGER)
+            await until(lambda: not s.side._server.is_serving())
+            assert not leaving.done()
+            s.core._overdue("r1")
+            assert await busy.read() == b"SERVER_ERROR failed\r\n"
+            await until(lambda: s.clock.go(20) or leaving.done())
+
+    play(test)
--- /dev/null
+++ b/tests/test_net_program.py
@@ -0,0 +1,147 @@
+"""The real program, started as it is deployed, between in-test peers on ephemeral ports."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from net_helpers import Peer
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = {
+    "services": [
+        {"name": "read", "effect": "retryable", "sloNs": 10**9, "hardLimitNs": 10 * 10**9},
+        {"name": "put", "effect": "dedup", "sloNs": 10**9, "hardLimitNs": 10 * 10**9, "windowNs": 10**9},
+    ],
+    "permissions": {"attemptsCap": 4, "connIdleNs": 5 * 10**9, "connectTimeoutNs": 2 * 10**9},
+    "discovery": "on_request",
+    "familyInfo": {"mode": "aside", "originKind": 1},
+    "kinds": ["box", "origin"],
+}
+
+
+def id_of(command: bytes) -> bytes:
+    return command.split(b" O")[1].split()[0]
+
+
+def cache(command: bytes) -> bytes:
+    """Holds the key `kept` and no other."""
+    held = command.startswith(b"mg kept ")
+    return b"VA 4 O%b h1\r\nmenu\r\n" % id_of(command) if held else b"EN O%b h0\r\n" % id_of(command)
+
+
+def origin(request: bytes) -> bytes:
+    body = b"r77" if request.startswith(b"PUT ") else b"fresh\r\n"
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Program:
+    def __init__(self, tmp_path, peers: dict[str, Peer], discovery: Peer) -> None:
+        members = [
+            {"id": name, "host_port": f"127.0.0.1:{peer.port}", "flavor": name, "phase": "in_service"}
+            for name, peer in peers.items()
+        ]
+        self.config = tmp_path / "config.json"
+        config = {
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{discovery.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": {"revision": 41, "complete": True, "members": members},
+            "settings": SETTINGS,
+        }
+        self.config.write_text(json.dumps(config))
+
+    async def start(self) -> int:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "flintridge", cwd=ROOT, stdout=subprocess.PIPE,
+            env={**os.environ, "PROXY_CONFIG": str(self.config)},
+        )  # fmt: skip
+        return (await self.event("serving"))["port"]
+
+    async def event(self, name: str) -> dict:
+        async for line in self.process.stdout:
+            if (event := json.loads(line))["event"] == name:
+                return event
+        raise AssertionError(f"the program ended without {name!r}")
+
+
+def test_reads_misses_and_writes_pass_through_and_sigterm_ends_it_well(tmp_path):
+    async def test():
+        async with Peer(cache) as box, Peer(origin) as main, Peer(lambda _: b"") as discovery:
+            program = Program(tmp_path, {"box": box, "origin": main}, discovery)
+            port = await program.start()
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"mn\r\nmg kept v Oa1 Pc=read,d=9000\r\nmg other v Oa2 Pc=read,d=9000\r\n")
+                writer.write(b"ms kept 2 Oa3 Pc=put,d=9000,k=5c\r\nhi\r\nnonsense\r\n")
+                expected = (
+                    b"MN\r\nVA 4 Oa1\r\nmenu\r\nVA 7 Oa2\r\nfresh\r\n\r\nHD Oa3 cr77\r\n"
+                    b"CLIENT_ERROR unknown command\r\n"
+                )
+                assert await reader.readexactly(len(expected)) == expected
+                assert b"Req-Id: a2\r\nReq-Extra: c=read,d=9000\r\n" in b"".join(main.got)
+                assert discovery.got[0].startswith(b"GET /api/targets?after=41&wait_ms=")
+                program.process.send_signal(signal.SIGUSR1)
+                counters = await program.event("counters")
+                assert (counters["requests"], counters["answers_served"]) == (3, 3)
+                program.process.send_signal(signal.SIGTERM)
+                assert await reader.read() == b""
+                assert (await program.event("counters"))["bad_commands"] == 1
+                assert await program.process.wait() == 0
+            finally:
+                if program.process.returncode is None:
+                    program.process.kill()
+
+    asyncio.run(test())
+
+
+def test_requests_under_way_at_sigterm_are_answered(tmp_path):
+    async def test():
+        async with Peer(lambda _: b"") as box, Peer(lambda _: b"") as discovery:
+            program = Program(tmp_path, {"box": box}, discovery)
+            port = await program.start()
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"mg kept v Oa1 Pc=read,d=9000\r\n")
+                while not box.got:
+                    await asyncio.sleep(0.001)
+                program.process.send_signal(signal.SIGTERM)
+                await program.event("leaving")
+                box.writers[0].write(cache(box.got[0]))
+                assert await reader.read() == b"VA 4 Oa1\r\nmenu\r\n"
+                assert await program.process.wait() == 0
+            finally:
+                if program.process.returncode is None:
+                    program.process.kill()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (None, "PROXY_CONFIG"),
+        ("{", "not JSON"),
+        ("[]", "not a JSON object"),
+        ('{"settings": {"services": [{"sloNs": -4}]}}', "aim_ns"),
+        ('{"settings": {}, "listen": "somewhere:1"}', "listen"),
+        ('{"settings": {}, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "known": 5}', "known"),
+    ],
+)
+def test_a_wrong_configuration_is_one_clear_line(tmp_path, text, said):
+    path = tmp_path / "config.json"
+    env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    if text is not None:
+        path.write_text(text)
+        env["PROXY_CONFIG"] = str(path)
+    done = subprocess.run(
+        [sys.executable, "-m", "flintridge"], cwd=ROOT, env=env, capture_output=True, text=True
+    )
+    assert done.returncode == 2 and said in done.stderr
+    assert done.stderr.startswith("flintridge: ") and done.stderr.count("\n") == 1
