Give an untried request up before half of its time, and say when to come again

Refusals named no time although the settings allow one. The refusal itself is sent at once; the time in it is reckoned from the line and capped.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -22,6 +22,7 @@
 EPSILON = 0.5  # a server may hold this much more than the average
 LATE_PART = 0.5  # an attempt that takes more than this part of its class's aim counts as slow
 SLOW_PART = 0.2  # of attempts that may be slow before a gate narrows
+UNTRIED_PART = 0.45  # of a try's time that a request waits for its first attempt
 LEAST_SHARE = 0.1  # what a sick server keeps of its keys and cap, to be tried on
 HEALTHY = 1.3  # up to this multiple of the fleet's cost a server counts as well
 CALM = 5000 * MS  # this long after a gate last narrowed there is room for niceties
@@ -149,6 +150,7 @@
     event: api.Request
     cls: api.RequestClass
     arrived: int  # of the client's first try, as far as known
+    came: int  # of this try
     over_quota: bool = False
     gate: Gate | None = None  # where it waits
     missed_at: str | None = None  # the first server that missed: it stores what the origin answers
@@ -274,7 +276,7 @@
     def on_request(self, event: api.Request) -> None:
         if event.id in self.held:
             return
-        request = self.held[event.id] = Held(event, self.settings.classes[event.cls], self.now)
+        request = self.held[event.id] = Held(event, self.settings.classes[event.cls], self.now, self.now)
         repeat = event.retry or event.work_ns is not None
         known = self.refused.pop(self.likeness(event), None) if repeat else None
         if known is not None and self.now < known[0] + request.cls.deadline_ns:
@@ -316,6 +318,9 @@
         usual = self.latency.get((request.event.cls, gate is self.origin), 0.0)
         cls = request.cls
         until = request.arrived + (cls.deadline_ns if cls.late_share else cls.aim_ns)
+        if not request.attempts:
+            # A client told early that there is no place may still come again in time, or try elsewhere.
+            until = min(until, request.came + int(UNTRIED_PART * (request.event.deadline - request.came)))
         # A slow spell must not teach that a class is hopeless: half its aim is always given a chance.
         return min(until, request.event.deadline) - int(min(usual, LATE_PART * cls.aim_ns))
 
@@ -698,10 +703,32 @@
         self.refused[likeness] = (request.arrived, request.over_quota)
         if len(self.refused) > self.settings.limits.max_open:
             self.refused.pop(next(iter(self.refused)))
-        self.out.append(api.Refuse(request.event.id) if harmless else api.Fail(request.event.id))
+        uid, back = request.event.id, self.come_back(request)
+        self.out.append(api.Refuse(uid, back) if harmless else api.Fail(uid))
         request.done = True
         self.forget(request)
 
+    def come_back(self, request: Held) -> int:
+        """When the client may find a place: its quota has room again, or those before it have had their turn.
+
+        Reckoned from this router's own line and pace, so it is short in a lull and long in an overload. It
+        could harm where the line shrinks much faster than it did: the client then comes later than it might.
+        """
+        limits, event = self.settings.limits, request.event
+        if not limits.retry_after:
+            return 0
+        rate = self.quotas.get(event.tenant)
+        if request.over_quota and rate:
+            tokens, at = self.tokens.get(event.tenant, (1.0, self.now))
+            wait = max(0.0, 1 - tokens) * 1000 * MS / rate - (self.now - at)
+        else:
+            asks_origin = request.event.write or request.missed_at is not None
+            gate = self.origin if asks_origin and self.settings.mode is api.CacheMode.ASIDE else self.caches
+            usual = self.latency.get((event.cls, gate is self.origin), LATE_PART * request.cls.aim_ns)
+            line = max(0, len(gate.waiting) - gate.left) + gate.inflight
+            wait = max(usual * line / max(gate.limit, gate.floor), gate.next_at - self.now)
+        return int(min(max(wait, 1 * MS), limits.max_retry_after_ns))
+
     def forget(self, request: Held) -> None:
         if request.gate is not None:
             request.gate.leave()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -336,3 +336,39 @@
     router.balancer.caches.narrowed_at = router.now
     router.ask("k")
     assert router.sends[-1].timeout_ns == 0
+
+
+def test_a_request_without_a_place_is_given_up_before_half_of_its_time():
+    """Guards clients against being held until it is too late to come again or to try elsewhere."""
+    router = Router(count=1)
+    router.balancer.caches.limit, router.balancer.caches.starting = 1.0, False
+    router.ask("k0")
+    waiting = router.ask("k1", deadline=router.now + 1000 * MS)
+    router.pass_time(440 * MS)
+    assert waiting not in router.answers
+    router.pass_time(20 * MS)
+    assert isinstance(router.answers[waiting], api.Refuse)
+
+
+def test_a_refusal_says_when_to_come_again_by_the_line_and_within_the_settings():
+    """Guards against clients that come back at once into the same full line."""
+
+    def told(limit: float, **limits) -> int:
+        router = Router(count=1, limits=api.Limits(max_attempts=4, retry_after=True, **limits))
+        router.balancer.caches.limit, router.balancer.caches.starting = limit, False
+        for i in range(8):
+            waiting = router.ask(f"k{i}", deadline=router.now + 1000 * MS)
+        router.pass_time(460 * MS)
+        return router.answers[waiting].retry_after_ns
+
+    assert 0 < told(2.0, max_retry_after_ns=60 * S) < told(1.0, max_retry_after_ns=60 * S)
+    assert told(1.0, max_retry_after_ns=30 * MS) == 30 * MS
+
+
+def test_where_the_settings_forbid_it_a_refusal_names_no_time():
+    router = Router(count=1)
+    router.balancer.caches.limit, router.balancer.caches.starting = 1.0, False
+    router.ask("k0")
+    waiting = router.ask("k1", deadline=router.now + 1000 * MS)
+    router.pass_time(460 * MS)
+    assert router.answers[waiting] == api.Refuse(waiting, 0)
