End the walk of the ring with the last server left: a zone loss took a whole core

Fault: Balancer.pick ended its walk at len(ready) + len(failed) servers seen, which is never reached when a server that failed the request is still ready; every pick without a free server then walked all 1,400 entries.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -405,21 +405,25 @@
         near = self.settings.prices.cross_zone > 0 and (calm or self.now < self.crowded_until)
         far: str | None = None
         barred: str | None = None
-        start = bisect.bisect_left(self.ring, place_of(request.event.key or request.event.id))
-        for i in range(len(self.ring)):
-            entry = self.ring[(start + i) % len(self.ring)]
-            name, rank = self.known[entry >> 8 & 0xFFFFFF], entry & 0xFF
-            if name in seen or rank >= shares[name] * POINTS:
+        ring, known = self.ring, self.known
+        start = bisect.bisect_left(ring, place_of(request.event.key or request.event.id))
+        # The walk ends with the last server that is left: one that failed this request is no longer to come.
+        left = len(shares) - sum(name in shares for name in seen)
+        for i in itertools.chain(range(start, len(ring)), range(start)):
+            if not left:
+                break
+            entry = ring[i]
+            name = known[entry >> 8 & 0xFFFFFF]
+            if name in seen or entry & 0xFF >= shares[name] * POINTS:
                 continue
             seen.add(name)
+            left -= 1
             if self.servers[name].barred_until > self.now:
                 barred = barred or name
             elif free(name):
                 if not near or self.servers[name].member.zone == self.settings.zone:
                     return name
                 far = far or name
-            if len(seen) >= len(self.ready) + len(request.failed):
-                break
         return far or barred
 
     # Servers that cannot be reached: more routers than a server accepts connections from, a fleet whose
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -372,3 +372,29 @@
     waiting = router.ask("k1", deadline=router.now + 1000 * MS)
     router.pass_time(460 * MS)
     assert router.answers[waiting] == api.Refuse(waiting, 0)
+
+
+def test_the_walk_ends_once_no_server_is_left_also_after_a_failure():
+    """Guards the node's core in a zone loss: each pick then walked the whole ring, about 1 ms of CPU."""
+
+    class Steps(list):
+        count = 0
+
+        def __getitem__(self, i):
+            self.count += 1
+            return super().__getitem__(i)
+
+    router = Router(count=4)
+    uid = router.ask("k")
+    held = router.balancer.held[uid]
+    held.failed = list(router.balancer.ready)
+    router.balancer.ring = Steps(router.balancer.ring)
+    lookups = 2 * len(router.balancer.ring).bit_length()  # of the search for the key's place
+    assert router.balancer.pick(held) is None
+    assert router.balancer.ring.count <= lookups
+    held.failed = held.failed[:1]
+    for server in router.balancer.servers.values():
+        server.barred_until = router.now + S
+    router.balancer.ring.count = 0
+    assert router.balancer.pick(held) in router.balancer.ready
+    assert router.balancer.ring.count < len(router.balancer.ring) / 4
