Bound what is kept for a client that does not read, after each command

Seen: a new test with 1,000 pipelined reads whose client reads nothing: all were taken and their answers kept. Fault: SenderConnection.serve looked at unread bytes once a read, and one read can hold hundreds of commands. Checked: the test fails with the old lines and passes with the new; a log whose pipe is blocked drops lines and holds nothing up; the example's configuration loads.

--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -78,10 +78,7 @@
                     if not self._take(command):
                         await self._finish()
                         return
-                    while len(self._slots) >= PIPELINED:
-                        self._moved.clear()
-                        await self._moved.wait()
-                await within(self._side.clock, SLOW_READER, self._writer.drain())
+                    await self._room()
         except OutOfTime:
             self._side.counters.add("slow_readers")
             self._writer.transport.abort()
@@ -90,6 +87,18 @@
         finally:
             self._end()
 
+    async def _room(self) -> None:
+        """Until a further command may be taken.
+
+        Asked after each one, not after each read: a single read can hold hundreds of commands, whose
+        answers would all be kept for a client that reads none of them.
+        """
+        while len(self._slots) >= PIPELINED:
+            self._moved.clear()
+            await self._moved.wait()
+        if self._writer.transport.get_write_buffer_size() > UNREAD:
+            await within(self._side.clock, SLOW_READER, self._writer.drain())
+
     def _take(self, command: Envelope | memcache.Hello | memcache.BadCommand) -> bool:
         """Whether the connection goes on."""
         slot = Slot(self, command.id if isinstance(command, Envelope) else b"")
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -1,6 +1,9 @@
 """The drivers on loopback against in-test peers; time is set by hand."""
 
 import asyncio
+import io
+import threading
+from pathlib import Path
 
 import orjson
 import pytest
@@ -10,10 +13,11 @@
 from flintridge.api import ListKind, Outcome
 from flintridge.net.core import Core
 from flintridge.net.delivery import SWEEP, Delivery
-from flintridge.net.envelope import DeliveryAttempt
-from flintridge.net.sender import LINGER, PIPELINED, SERVING, SenderSide
+from flintridge.net.envelope import DeliveryAttempt, Served
+from flintridge.net.log import WAITING, Log
+from flintridge.net.sender import LINGER, PIPELINED, SERVING, SLOW_READER, UNREAD, SenderSide
 from flintridge.net.transport_map import TransportMap, TransportWatch
-from flintridge.settings import Address
+from flintridge.settings import Address, load_config
 
 READ = b"mg key7 v O%b Pc=read,t=acme,d=480\r\n"
 VALUE = b"VA 2 Oa1\r\nok\r\n"
@@ -319,3 +323,49 @@
             await until(lambda: s.clock.go(20) or leaving.done())
 
     play(test)
+
+
+def test_a_client_that_does_not_read_is_read_no_further_and_cut_off():
+    """Guards the node's memory: each client could otherwise have it hold all the answers it asks for."""
+
+    async def test():
+        async with Side() as s:
+            await s.client(*(READ % b"r%d" % i for i in range(1000)))
+            await until(lambda: s.counters["requests"])
+            (connection,) = s.side._connections
+
+            def served() -> bool:
+                for uid, request in list(s.core._open.items()):
+                    s.core._answered(uid, request)
+                    request.reply.served(Served(b"x" * 65536, receipt=False))
+                return connection._writer.transport.get_write_buffer_size() > UNREAD
+
+            await until(served)
+            s.clock.go(SLOW_READER / 2)
+            assert s.counters["slow_readers"] == 0 and s.side._connections
+            await until(lambda: s.clock.go(100) or s.counters["slow_readers"] == 1)
+            assert s.counters["requests"] < 1000
+
+    play(test)
+
+
+def test_a_blocked_log_drops_lines_and_holds_nothing_up():
+    class Stuck(io.BytesIO):
+        def write(self, data):
+            free.wait()
+            return super().write(data)
+
+    free, sink = threading.Event(), Stuck()
+    log = Log("n1", sink)
+    for i in range(WAITING + 10):
+        log.event("line", number=i)
+    assert log.dropped >= 9  # the writer holds one or none
+    free.set()
+    log.close(wait_s=30)
+    lines = [orjson.loads(line) for line in sink.getvalue().splitlines()]
+    assert lines[0] == {"node": "n1", "event": "line", "number": 0} and len(lines) >= WAITING
+
+
+def test_the_example_configuration_is_good():
+    config = load_config({"PROXY_CONFIG": str(Path(__file__).parent.parent / "examples" / "config.json")})
+    assert config.settings.mode is api.CacheMode.ASIDE and config.listen.host == "127.0.0.1"
