--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -15,6 +15,7 @@
 
 # A client's time counts from its sending, and the answer takes its way back: answers are due this much early.
 MARGIN = 10.0
+HELD_BYTES = 48 * 1024 * 1024  # of values in open requests; a node's memory is small
 
 
 class Module(Protocol):
@@ -68,6 +69,7 @@
         self._delivery: DeliveryDriver | None = None
         self._watch: WatchDriver | None = None
         self._open: dict[str, Open] = {}
+        self._held_bytes = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
@@ -83,6 +85,12 @@
         if uid in self._open:
             raise IdInUse
         self._counters.add("requests")
+        full = len(self._open) >= self._settings.limits.max_open
+        if full or self._held_bytes + len(envelope.value or b"") > HELD_BYTES:
+            # Guards the node's memory. It never ran, so trying again is harmless.
+            self._counters.add("answers_turned_away")
+            reply.defer(0.0)
+            return uid
         cls = self._settings.classes[envelope.cls]
         patience = to_ms(cls.deadline_ns)
         if envelope.wait_ms is not None:
@@ -92,6 +100,7 @@
         deadline = now + patience - margin
         guard = self._clock.call_at(deadline + margin / 2, self._overdue, uid)
         self._open[uid] = Open(envelope, reply, deadline, guard)
+        self._held_bytes += len(envelope.value or b"")
         self._tell(
             api.Request(
                 id=uid,
@@ -283,3 +292,4 @@
         request = self._open.get(uid)
         if request is not None and request.answered and request.out == 0:
             del self._open[uid]
+            self._held_bytes -= len(request.envelope.value or b"")
--- a/flintridge/net/origin.py
+++ b/flintridge/net/origin.py
@@ -62,17 +62,11 @@
     return next((value for key, value in response.headers if key == name), None)
 
 
-class OriginExchange:
-    """A read or a write at the origin. A malformed answer ends as an error: it may have run."""
+class _OverHttp:
+    """An exchange whose answer is one response. A malformed one ends as an error: it may have run."""
 
-    def __init__(self, envelope: Envelope, host: str) -> None:
-        headers = [(b"Host", host.encode()), (b"Req-Id", envelope.id), (b"Req-Extra", envelope.extras)]
-        if envelope.value is not None:
-            headers.append((b"Content-Length", b"%d" % len(envelope.value)))
-        target = b"/" + quote(envelope.key, safe="!$&'()*+,;=:@/-._~").encode()
-        self._write = envelope.write
-        method = b"PUT" if self._write else b"GET"
-        self._http = HttpExchange(method, target, headers, envelope.value or b"")
+    def __init__(self, http: HttpExchange) -> None:
+        self._http = http
 
     @property
     def reusable(self) -> bool:
@@ -96,6 +90,22 @@
             return None
         return self._answer(*found) if found else None
 
+    def _answer(self, response: h11.Response, body: bytes) -> Answer:
+        raise NotImplementedError
+
+
+class OriginExchange(_OverHttp):
+    """A read or a write at the origin."""
+
+    def __init__(self, envelope: Envelope, host: str) -> None:
+        headers = [(b"Host", host.encode()), (b"Req-Id", envelope.id), (b"Req-Extra", envelope.extras)]
+        if envelope.value is not None:
+            headers.append((b"Content-Length", b"%d" % len(envelope.value)))
+        target = b"/" + quote(envelope.key, safe="!$&'()*+,;=:@/-._~").encode()
+        self._write = envelope.write
+        method = b"PUT" if self._write else b"GET"
+        super().__init__(HttpExchange(method, target, headers, envelope.value or b""))
+
     def _answer(self, response: h11.Response, body: bytes) -> Answer:
         load = load_report(header(response, b"srv-load") or b"")
         if response.status_code == 200:
@@ -107,29 +117,12 @@
         return Answer(Outcome.FULL if declined else Outcome.ERROR, load=load)
 
 
-class OriginProbe:
+class OriginProbe(_OverHttp):
     """The origin's load report."""
 
     def __init__(self, host: str) -> None:
-        self._http = HttpExchange(b"GET", b"/-/load", [(b"Host", host.encode())])
-
-    @property
-    def reusable(self) -> bool:
-        return self._http.reusable
+        super().__init__(HttpExchange(b"GET", b"/-/load", [(b"Host", host.encode())]))
 
-    def question(self) -> list[bytes]:
-        return self._http.question()
-
-    def feed(self, data: bytes) -> Answer | None:
-        try:
-            found = self._http.feed(data)
-        except h11.RemoteProtocolError:
-            return Answer(Outcome.ERROR)
-        if not found:
-            return None
-        response, body = found
+    def _answer(self, response: h11.Response, body: bytes) -> Answer:
         report = load_report(header(response, b"srv-load") or body)
         return Answer(Outcome.OK if response.status_code == 200 else Outcome.ERROR, load=report)
-
-    def end(self) -> Answer | None:
-        return None
--- a/tests/test_net_core.py
+++ b/tests/test_net_core.py
@@ -1,12 +1,14 @@
 """The core on a clock set by hand: events in order, one end an attempt, one final answer a request."""
 
+from dataclasses import replace
+
 import pytest
 from net_helpers import SETTINGS, HandClock, Replies, envelope, quiet
 
 from flintridge import api
 from flintridge.api import Outcome
 from flintridge.net.clock import to_ns
-from flintridge.net.core import Core, IdInUse
+from flintridge.net.core import HELD_BYTES, Core, IdInUse
 from flintridge.net.envelope import Answer, Served
 
 OK = Answer(Outcome.OK, Served(b"value", receipt=False))
@@ -187,3 +189,22 @@
     node = Node()
     node.ring(api.Watch(), api.Watch(False), api.FetchList(), api.CloseIdle("s1"), api.Log("hi"))
     assert node.done == [("watch", True), ("watch", False), "fetch", ("close", "s1")]
+
+
+def test_more_values_than_the_memory_allows_are_turned_away_and_room_comes_back():
+    node = Node()
+    big = b"x" * (HELD_BYTES // 2)
+    for uid in ("a1", "a2", "a3"):
+        node.ask(uid=uid, value=big)
+    assert node.replies.said == [("busy", 0.0)] and len(node.script.events) == 2
+    node.ring(api.Fail("a1"))
+    node.ask(uid="a4", value=big)
+    assert node.replies.said == [("busy", 0.0), "failed"]
+
+
+def test_more_open_requests_than_the_settings_allow_are_turned_away():
+    node = Node()
+    node.core._settings = replace(SETTINGS, limits=api.Limits(max_open=1))
+    node.ask(uid="a1")
+    node.ask(uid="a2")
+    assert node.replies.said == [("busy", 0.0)] and not node.core.idle
