--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -212,15 +212,23 @@
         """After SIGTERM: serve on for a while, then close each connection between requests; answer all."""
         await sleep(self.clock, LINGER)
         self._leaving = True
-        for connection in list(self._connections):
-            self.between_requests(connection)
+        self._close_idle()
         await sleep(self.clock, SERVING - LINGER)
         if self._server is not None:
             self._server.close()
-        while not self.core.idle:  # each request's own deadline bounds this wait
+        while True:  # each request's own deadline bounds this wait
+            # Again each time: a connection that came meanwhile and stays unused must not take a request
+            # that this program would end upon.
+            self._close_idle()
+            if self.core.idle:
+                break
             await sleep(self.clock, 20.0)
         for connection in list(self._connections):
             connection.close()  # what was answered is still written out
         until = self.clock.now() + LAST_BYTES
         while any(c.unwritten for c in self._connections) and self.clock.now() < until:
             await sleep(self.clock, 20.0)
+
+    def _close_idle(self) -> None:
+        for connection in list(self._connections):
+            self.between_requests(connection)
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -315,9 +315,12 @@
             await until(lambda: s.counters["requests"] == 2)
             late.close()
             await until(lambda: s.counters["clients_gone"] == 1)
+            unused, _ = await s.client()  # came late and asks for nothing
+            await until(lambda: s.counters["connections_accepted"] == 4)
             s.clock.go(SERVING - LINGER)
             await until(lambda: not s.side._server.is_serving())
             assert not leaving.done()
+            assert await unused.read() == b"" and not leaving.done()
             s.core._overdue("r1")
             assert await busy.read() == b"SERVER_ERROR failed\r\n"
             await until(lambda: s.clock.go(20) or leaving.done())
