--- a/flintridge/net/clock.py
+++ b/flintridge/net/clock.py
@@ -76,9 +76,9 @@
 
 
 async def sleep(clock: Clock, ms: float) -> None:
-    woken = asyncio.get_running_loop().create_future()
-    timer = clock.call_at(clock.now() + ms, lambda: woken.done() or woken.set_result(None))
+    woken = asyncio.Event()
+    timer = clock.call_at(clock.now() + ms, woken.set)
     try:
-        await woken
+        await woken.wait()
     finally:
         timer.cancel()
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -59,7 +59,9 @@
 class Exchange(Protocol):
     """A question to a server and its answer: a state machine that is fed bytes and knows no socket."""
 
-    reusable: bool  # whether the connection may carry another exchange
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another exchange."""
 
     def question(self) -> list[bytes]: ...
 
@@ -80,4 +82,4 @@
     sent_at: float
     until: float  # the node stops waiting then
     ended: bool = False
-    give_up: Callable[[], None] | None = None  # set by the driver that carries it
+    give_up: Callable[[], object] | None = None  # set by the driver that carries it
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -86,14 +86,14 @@
         server, state = entry["id"], PHASES[entry["phase"]]
         if not isinstance(server, str) or not server:
             raise ValueError("bad id")
-        kind = self._kinds.get(entry.get("flavor"), -2)
+        kind = self._kinds.get(entry.get("flavor", ""), -2)
         gone = state is MemberState.GONE and not entry.get("host_port")
         transport = None if gone else Transport(Address.parse(entry["host_port"]), kind == self._origin_kind)
         up_since, size = entry.get("up_since_ms") or 0, entry.get("size")
         # 0 is long ago, to discovery and to the module alike; the instant of a start is never that.
         started = to_ns(self._clock.from_unix(float(up_since))) or 1 if up_since else 0
         weight = 1.0 if size is None else float(size)
-        zone = self._zones.get(entry.get("locality"), -1)
+        zone = self._zones.get(entry.get("locality", ""), -1)
         return Member(server, state, weight, int(entry.get("cell") or 0), kind, started, zone), transport
 
 
