Read the configuration again on SIGHUP and move the watch to the new discovery at once

Cause: __main__.run registers SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP keeps its default, which ends the program; and TransportWatch keeps one address for good.

Now: Reloader reads the file again; a bad one is logged (`reload_refused`) and changes nothing; a new discovery address moves the watch, which begins there with the whole list, as the new service's revisions need not continue the old one's. What cannot change without a restart is named in the log line `reloaded`. Guarded: a call that ran out of time in the moment of the move neither reports a failure nor clears the new watch, else the module would ask for a second one. Ruled out: that the open requests are touched: the test holds a read at the origin through three SIGHUPs and gets it.

--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 import sys
+from dataclasses import fields, replace
 
 from flintridge.decide import Balancer
 from flintridge.net.clock import SystemClock
@@ -28,6 +29,8 @@
     ending = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
+    reloader = Reloader(config, log, counters)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.event("counters", **counters.snapshot()))
 
     transports = TransportMap(config.zones, config.kinds, config.settings, clock)
@@ -40,6 +43,7 @@
     )
     watch = TransportWatch(config.discovery, transports, clock, core.told, log, counters)
     core.attach(delivery, watch)
+    reloader.attach(watch)
     side = SenderSide(core, config.settings, transports, clock, clients, log, counters)
     core.told(known)
     port = await side.listen(config.listen)
@@ -54,6 +58,40 @@
     log.event("left")
 
 
+class Reloader:
+    """SIGHUP: the configuration is read again, and what can change without a restart does."""
+
+    def __init__(self, config: NodeConfig, log: Log, counters: Counters) -> None:
+        self._config = config
+        self._log = log
+        self._counters = counters
+        self._watch: TransportWatch | None = None
+
+    def attach(self, watch: TransportWatch) -> None:
+        self._watch = watch
+        if self._config.discovery != watch.discovery:  # told by a signal that came before there was a watch
+            watch.move(self._config.discovery)
+
+    def reload(self) -> None:
+        """It never raises: a node in service must not end, nor lose a request, by a file that is bad."""
+        self._counters.add("reloads")
+        try:
+            new = load_config()
+        except ConfigError as error:
+            self._counters.add("reloads_refused")
+            self._log.event("reload_refused", error=str(error))
+            return
+        old = self._config
+        self._config = replace(old, discovery=new.discovery)  # what holds, whatever the file says
+        parts = [field.name for field in fields(NodeConfig) if field.name not in ("discovery", "known")]
+        waits = [name for name in parts if getattr(new, name) != getattr(old, name)]
+        moved = new.discovery != old.discovery
+        # The list that the file holds is an old one; this node's own is newer.
+        self._log.event("reloaded", discovery_moved=moved, until_restart=waits)
+        if moved and self._watch is not None:
+            self._watch.move(new.discovery)
+
+
 def _unhandled(log: Log, said: dict[str, object]) -> None:
     error = said.get("exception")
     if isinstance(error, BaseException):
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -109,7 +109,7 @@
         log: Log,
         counters: Counters,
     ) -> None:
-        self._discovery = discovery
+        self.discovery = discovery
         self._transports = transports
         self._clock = clock
         self._tell = tell
@@ -117,6 +117,7 @@
         self._counters = counters
         self._watching: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
+        self._anew = False  # the next call takes the whole list: changes since a revision mean nothing
 
     def watch(self, on: bool) -> None:
         """Subscribe, or end the subscription; while one goes on another would be a call too many."""
@@ -126,6 +127,21 @@
         elif not on and self._watching is not None:
             self._watching.cancel()
 
+    def move(self, discovery: Address) -> None:
+        """Go on at another address, at once and from its whole list: it need not count as the old one did.
+
+        Only calls to the old address end; what they would still have told is in the new whole list.
+        """
+        self.discovery = discovery
+        self._anew = True
+        fetching = self._fetching is not None and not self._fetching.done()
+        for task in (self._watching, self._fetching):
+            if task is not None:
+                task.cancel()
+        self._watching = asyncio.ensure_future(self._watch())
+        if fetching:
+            self._fetching = asyncio.ensure_future(self._fetch())
+
     def fetch(self) -> None:
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.ensure_future(self._fetch())
@@ -137,30 +153,38 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _fetch(self) -> None:
-        call = _Call(self._discovery)
+        call = _Call(self.discovery)
         try:
             text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
             self._told(text)
         except (OSError, ValueError, OutOfTime, h11.RemoteProtocolError) as error:
-            self._failed(error)
+            if asyncio.current_task() is self._fetching:
+                self._failed(error)
         finally:
             call.close()
 
     async def _watch(self) -> None:
-        call = _Call(self._discovery)
+        call = _Call(self.discovery)
         try:
             while True:
                 began = self._clock.now()
-                target = f"/api/targets?after={self._transports.revision}&wait_ms={WAIT:.0f}"
-                text = await within(self._clock, WAIT + ANSWER_TIME, call.get(target))
+                if self._anew:
+                    text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
+                else:
+                    target = f"/api/targets?after={self._transports.revision}&wait_ms={WAIT:.0f}"
+                    text = await within(self._clock, WAIT + ANSWER_TIME, call.get(target))
                 self._told(text)
+                self._anew = False
                 # Guards discovery against a list that answers at once, time after time.
                 pause = began + PACE - self._clock.now()
                 if pause > 0:
                     await sleep(self._clock, pause)
         except (OSError, ValueError, OutOfTime, h11.RemoteProtocolError) as error:
-            self._watching = None  # so that the module may ask again at once
-            self._failed(error)
+            # Guards against a call that ran out of time in the moment of a move: its failure is none any
+            # more, and the module would ask for a second watch.
+            if asyncio.current_task() is self._watching:
+                self._watching = None  # so that the module may ask again at once
+                self._failed(error)
         finally:
             call.close()
 
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -213,6 +213,36 @@
     play(test)
 
 
+def test_a_moved_watch_ends_the_old_call_and_begins_with_the_whole_list():
+    async def test():
+        clock, told = HandClock(), []
+        whole = response(200, orjson.dumps({"revision": 3, "complete": True, "members": []}))
+        answers = [response(503, b""), whole, b""]
+        async with Peer(lambda _: b"") as old, Peer(lambda _: answers.pop(0)) as new:
+            transports = TransportMap((), (), SETTINGS, clock)
+            transports.take({"revision": 41, "complete": True, "members": []})
+            watch = TransportWatch(Address("127.0.0.1", old.port), transports, clock, told.append, *quiet())
+            watch.watch(True)
+            await until(lambda: old.got)
+            watch.move(Address("127.0.0.1", new.port))
+            watch.watch(True)  # never two at once
+            await until(lambda: told)  # without any time passing
+            assert [t.kind for t in told] == [ListKind.FAILED]
+            await until(lambda: old.writers[0].transport.is_closing())
+            watch.watch(True)  # as the module asks; still there was no whole list
+            await until(lambda: len(told) == 2)
+            assert (told[1].kind, told[1].version) == (ListKind.FULL, 3)
+            await until(lambda: clock.due[0][2] is not None)
+            clock.go(150)
+            await until(lambda: len(new.got) == 3)
+            targets = [call.split()[1] for call in new.got]
+            assert targets[:2] == [b"/api/targets"] * 2 and targets[2].startswith(b"/api/targets?after=3&")
+            assert len(old.got) == 1 and new.connections == 2
+            await watch.close()
+
+    play(test)
+
+
 # The sender side
 
 
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -123,6 +123,47 @@
     asyncio.run(test())
 
 
+def test_sighup_reads_the_configuration_again_and_a_bad_one_changes_nothing(tmp_path):
+    async def test():
+        async with (
+            Peer(cache) as box,
+            Peer(lambda _: b"") as asked,
+            Peer(lambda _: b"") as first,
+            Peer(lambda _: b"") as then,
+        ):
+            program = Program(tmp_path, {"box": box, "origin": asked}, first)
+            port = await program.start()
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"mg other v Oa1 Pc=read,d=9000\r\n")  # held at the origin throughout
+                while not asked.got:
+                    await asyncio.sleep(0.001)
+                good = program.config.read_text()
+                program.config.write_text(good[:-9])
+                program.process.send_signal(signal.SIGHUP)
+                assert "JSON" in (await program.event("reload_refused"))["error"]
+                changed = json.loads(good) | {"discovery": f"127.0.0.1:{then.port}", "name": "n2"}
+                program.config.write_text(json.dumps(changed))
+                program.process.send_signal(signal.SIGHUP)
+                said = await program.event("reloaded")
+                assert (said["discovery_moved"], said["until_restart"]) == (True, ["name"])
+                while not then.got:
+                    await asyncio.sleep(0.001)
+                assert then.got[0].startswith(b"GET /api/targets HTTP")
+                program.process.send_signal(signal.SIGHUP)  # with nothing new in the file
+                assert (await program.event("reloaded"))["discovery_moved"] is False
+                asked.writers[0].write(origin(asked.got[0]))
+                assert await reader.readexactly(19) == b"VA 7 Oa1\r\nfresh\r\n\r\n"
+                assert len(asked.got) == 1 and (first.connections, then.connections) == (1, 1)
+                program.process.send_signal(signal.SIGTERM)
+                assert await program.process.wait() == 0
+            finally:
+                if program.process.returncode is None:
+                    program.process.kill()
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize(
     ("text", "said"),
     [
