Ask again where a spoilt answer came from, and end idle connections on unasked bytes

Lines at fault: - decide.next_step put the server of a spoilt answer among those that failed the request, so a read went to a server that lacks the key and on to the origin; after a spoilt answer of the origin itself, the only one, the request was given up. - decide.note_cost took a spoilt answer as a failure, at 13 times the fleet's cost: with ten outcomes of weight one such answer more than halves a healthy server's share of keys. It counts twice the fleet's cost now. - memcache.AnswerReader.line and h11 awaited the end of a line or head that noise never has; an answer now shows by its first bytes whether it is one. - delivery.Link.broken saw only the end of a connection: bytes waiting in the stream were read as the next request's answer. LinkReader counts what came, and ends an idle connection on unasked bytes. `within` now cancels its caller's own task by the timer, as asyncio.timeout does, and makes no further task.

Checked and ruled out: good answers with an unreadable load report or 1xx ahead were read well before (tests added).

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -32,6 +32,7 @@
 BAR = 1000 * MS  # of a server that could not be reached, at first
 LONGEST_BAR = 16 * BAR
 DOUBT = 2.0  # outcomes like those of its kind that a server is credited with before its own
+SPOILT_COST = 2.0  # of an answer that could not be read, in multiples of the fleet's
 FADE = 5000 * MS  # half of the evidence on a server is gone after this
 SILENT = (Outcome.TIMEOUT, Outcome.RESET)
 STALE_SPAN = 20_000 * MS  # a trouble of connections is looked for again after this
@@ -157,6 +158,7 @@
     prefer: str | None = None  # the server that has just stored its key
     attempts: list[Attempt] = field(default_factory=list)
     failed: list[str] = field(default_factory=list)  # servers that failed it
+    spoilt: list[str] = field(default_factory=list)  # servers whose answer could not be read, once
     ran_at: int | None = None  # send of the first attempt that may have run, once its outcome is in
     ran_on: str = ""
     done: bool = False
@@ -476,13 +478,15 @@
     def fade(self, server: Server) -> float:
         return server.evidence * 0.5 ** ((self.now - server.cost_at) / FADE)
 
-    def note_cost(self, server: Server, request: Held, latency_ns: int, failed: bool) -> None:
+    def note_cost(self, server: Server, request: Held, latency_ns: int, failed: bool, spoilt: bool) -> None:
         usual = self.latency.get((request.event.cls, False))
         expected = request.event.work_ns or usual
         if not expected:
             return
         cost = latency_ns / expected
         worst = cost if self.fleet_cost is None else self.fleet_cost * HEALTHY / LEAST_SHARE
+        if spoilt:  # all servers alike may spoil a few: only many in a row shall tell against one
+            cost = max(cost, SPOILT_COST * (self.fleet_cost or cost))
         cost = worst if failed else min(cost, worst)
         kind = server.member.kind
         self.kinds[kind] = self.kinds.get(kind, cost) + 0.03 * (cost - self.kinds.get(kind, cost))
@@ -634,6 +638,7 @@
         gate = self.gate_of(known)
         gate.ended(self.now, event.latency_ns)
         good = event.outcome in (Outcome.OK, Outcome.MISS)
+        failed = not good and not event.spoilt
         unreached = event.outcome is Outcome.CONNECT_FAILED
         dropped = event.outcome in SILENT and (attempt.idle or 0) > self.stale_after
         if event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
@@ -647,14 +652,14 @@
             # Nor do connections tell of it: those that fail, those that were dropped, the time to open one.
             own_trouble = unreached or dropped or self.health(known) < SICK
             if good or event.outcome is Outcome.FULL or not own_trouble:
-                narrowed = gate.note(self.now, late or not good, attempt.sent_at)
+                narrowed = gate.note(self.now, late or failed, attempt.sent_at)
                 if narrowed is not None:
                     self.spare = self.spare / 2 if narrowed else min(1.0, self.spare + 0.05)
         if gate is self.caches:
             self.note_idle(known, attempt, event.outcome)
             self.note_reached(known, event)
             if not dropped and event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, *SILENT):
-                self.note_cost(known, request, event.latency_ns, not good)
+                self.note_cost(known, request, event.latency_ns, failed, event.spoilt)
         if event.outcome is Outcome.OK:
             usual = (request.event.cls, gate is self.origin)
             known_latency = self.latency.get(usual, float(event.latency_ns))
@@ -672,16 +677,19 @@
         if request.done:
             self.forget(request)
         elif not any(a.open for a in request.attempts):
-            self.next_step(request, attempt, event.outcome)
+            self.next_step(request, attempt, event.outcome, event.spoilt)
         self.admit(gate)
 
-    def next_step(self, request: Held, attempt: Attempt, outcome: Outcome) -> None:
+    def next_step(self, request: Held, attempt: Attempt, outcome: Outcome, spoilt: bool = False) -> None:
         if self.now >= request.event.deadline:
             self.give_up(request)
         elif self.settings.mode is api.CacheMode.ASIDE and (outcome is Outcome.MISS or self.is_last(request)):
             self.enter(request, self.origin)  # the last attempt is kept for it: another cache could only miss
         else:
-            request.failed.append(attempt.server)
+            # An answer spoilt on its way says little of its server, which has the key by now: it may be asked
+            # once more. Else each one would cost a miss elsewhere and a fetch, or the only origin.
+            again = spoilt and attempt.server not in request.spoilt
+            (request.spoilt if again else request.failed).append(attempt.server)
             self.route(request)
 
     def is_last(self, request: Held) -> bool:
--- a/flintridge/net/clock.py
+++ b/flintridge/net/clock.py
@@ -56,7 +56,8 @@
 
 async def within(clock: Clock, limit: float, awaited: Awaitable[T]) -> T:
     """The result of `awaited`, or OutOfTime after `limit` milliseconds of this clock."""
-    task = asyncio.ensure_future(awaited)
+    task = asyncio.current_task()
+    assert task is not None
     late = False
 
     def expire() -> None:
@@ -66,9 +67,9 @@
 
     timer = clock.call_at(clock.now() + limit, expire)
     try:
-        return await task
+        return await awaited
     except asyncio.CancelledError:
-        if late:
+        if late and not task.uncancel():  # else whoever started this task gave it up as well
             raise OutOfTime from None
         raise
     finally:
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -133,6 +133,8 @@
             return
         attempt.ended = True
         self._counters.add(f"attempts_{answer.outcome.value}")
+        if answer.spoilt:
+            self._counters.add("attempts_spoilt")
         request = self._open.get(attempt.id)
         if request is not None:
             request.out -= 1
@@ -150,6 +152,7 @@
                 final=request is None or request.answered,
                 note=answer.note,
                 load=answer.load,
+                spoilt=answer.spoilt,
             )
         )
         self._forget(attempt.id)
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -28,19 +28,46 @@
     """Every descriptor that may be used for servers is in use."""
 
 
+class LinkReader(asyncio.StreamReader):
+    """Counts what arrives, and tells of anything that arrives while nothing was asked.
+
+    Guards the next question on a kept connection against being answered by bytes that lie there already: a
+    second copy of the answer before, noise behind it, or the end of the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self.fed = 0
+        self.unasked: Callable[[], None] | None = None  # set while nothing may arrive
+
+    def feed_data(self, data: bytes) -> None:
+        self.fed += len(data)
+        super().feed_data(data)
+        if self.unasked is not None:
+            self.unasked()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        if self.unasked is not None:
+            self.unasked()
+
+
 @dataclass(slots=True, eq=False)
 class Link:
     """A connection to a server."""
 
     address: Address
-    reader: asyncio.StreamReader
+    reader: LinkReader
     writer: asyncio.StreamWriter
     idle_since: float = 0.0
     asked: bool = False  # the question was written whole
+    read: int = 0  # bytes
 
     @property
     def broken(self) -> bool:
-        return self.reader.at_eof() or self.writer.is_closing()
+        """Whether it has ended, or holds bytes that belong to no question."""
+        reader = self.reader
+        return reader.fed != self.read or reader.at_eof() or self.writer.is_closing()
 
     async def ask(self, exchange: Exchange) -> Answer:
         """Raises OSError where the connection breaks."""
@@ -50,6 +77,7 @@
         self.asked = True
         while True:
             data = await self.reader.read(65536)
+            self.read += len(data)
             answer = exchange.feed(data) if data else exchange.end()
             if answer is not None:
                 return answer
@@ -57,6 +85,15 @@
                 raise ConnectionResetError("the server ended the connection")
 
 
+async def _open(address: Address) -> tuple[LinkReader, asyncio.StreamWriter]:
+    """As asyncio.open_connection does it, with a reader of our own."""
+    loop = asyncio.get_running_loop()
+    reader = LinkReader(loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, address.host, address.port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 class Delivery:
     def __init__(
         self,
@@ -174,22 +211,40 @@
         while links:
             link = links.pop()
             idle = self._clock.now() - link.idle_since
+            link.reader.unasked = None
             if not link.broken and idle < self._idle_time and link.address == transport.address:
+                if not links:
+                    del self._idle[server]
                 return link
             self._close(link)
+        self._idle.pop(server, None)
         return None
 
     def _keep(self, server: str, link: Link) -> None:
+        if link.broken:  # more than the answer came while it was passed on
+            self._counters.add("connections_unasked")
+            self._close(link)
+            return
         link.idle_since = self._clock.now()
+        link.reader.unasked = lambda: self._unasked(server, link)
         self._idle.setdefault(server, deque()).append(link)
 
+    def _unasked(self, server: str, link: Link) -> None:
+        """Bytes nobody asked for, or the end, on an idle connection: it is of no use any more."""
+        self._counters.add("connections_unasked")
+        links = self._idle.get(server, deque())
+        if link in links:
+            links.remove(link)
+            if not links:
+                del self._idle[server]
+            self._close(link)
+
     async def _connect(self, address: Address, limit: float) -> Link:
         if self._open >= self._room and not self._free_one():
             raise NoRoom
         self._open += 1
         try:
-            opening = asyncio.open_connection(address.host, address.port)
-            reader, writer = await within(self._clock, limit, opening)
+            reader, writer = await within(self._clock, limit, _open(address))
         except BaseException:
             self._open -= 1
             self._counters.add("connections_failed")
@@ -200,6 +255,7 @@
 
     def _close(self, link: Link) -> None:
         self._open -= 1
+        link.reader.unasked = None
         if link.writer.transport.get_write_buffer_size():
             link.writer.transport.abort()  # else the rest of a question given up would still be written
         else:
@@ -215,7 +271,7 @@
         if oldest is None:
             return False
         self._close(oldest.popleft())
-        return True
+        return True  # an empty deque goes with the next sweep
 
     def _sweep(self) -> None:
         """Drop what a server has ended, or is about to."""
@@ -227,5 +283,8 @@
                     self._close(link)
                 else:
                     stay.append(link)
-            self._idle[server] = stay
+            if stay:
+                self._idle[server] = stay
+            else:
+                del self._idle[server]  # servers come and go: what is kept of one must go with it
         self._sweep_timer = self._clock.call_at(now + SWEEP, self._sweep)
--- a/flintridge/net/memcache.py
+++ b/flintridge/net/memcache.py
@@ -227,8 +227,11 @@
     def feed(self, data: bytes) -> None:
         self._buffer += data
 
-    def line(self) -> bytes | None:
+    def line(self, kinds: tuple[bytes, ...]) -> bytes | None:
+        """The next line, which begins as one of these. Noise shows by its first bytes: no end is awaited."""
         end = self._buffer.find(EOL)
+        if not any(self._buffer.startswith(kind[: len(self._buffer)]) for kind in kinds):
+            raise Malformed("no line of an answer")
         if end < 0 and len(self._buffer) <= MAX_LINE:
             return None
         if not 0 <= end <= MAX_LINE:
@@ -279,14 +282,14 @@
         try:
             return self._step()
         except Malformed:
-            return Answer(Outcome.ERROR)
+            return Answer(Outcome.ERROR, spoilt=True)
 
     def end(self) -> Answer | None:
         return None
 
     def _step(self) -> Answer | None:
         if self._value is None:
-            line = self._reader.line()
+            line = self._reader.line((b"VA ", b"HD ", b"EN ", b"SERVER_ERROR", b"CLIENT_ERROR ", b"ERROR"))
             if line is None:
                 return None
             answer = self._line(line)
@@ -308,6 +311,8 @@
         if kind == b"SERVER_ERROR":
             busy = flags[:1] == [b"busy"]
             return Answer(Outcome.FULL if busy else Outcome.ERROR, load=self._load(flags[1:]))
+        if kind in (b"CLIENT_ERROR", b"ERROR"):
+            return Answer(Outcome.ERROR)
         length = 0
         if kind == b"VA":
             if not flags or not flags[0].isdigit() or len(flags[0]) > 6 or int(flags[0]) > MAX_VALUE:
@@ -350,7 +355,7 @@
     def feed(self, data: bytes) -> Answer | None:
         self._reader.feed(data)
         try:
-            while (line := self._reader.line()) is not None:
+            while (line := self._reader.line((b"STAT ", b"END", b"SERVER_ERROR", b"ERROR"))) is not None:
                 match line.split(b" "):
                     case [b"STAT", name, value] if len(self._load) < 64:
                         self._load |= load_report(name + b"=" + value)
--- a/flintridge/net/origin.py
+++ b/flintridge/net/origin.py
@@ -8,6 +8,8 @@
 from flintridge.net.envelope import Answer, Envelope, Served
 from flintridge.net.memcache import MAX_VALUE, load_report
 
+START = b"HTTP/1."
+
 
 class HttpExchange:
     """One request and its whole response; bounded, and never raising on what the other end sends."""
@@ -27,6 +29,7 @@
         self._response: h11.Response | None = None
         self._parts: list[bytes] = []
         self._size = 0
+        self._first = b""  # bytes of the answer
         self.reusable = False
 
     def question(self) -> list[bytes]:
@@ -38,6 +41,10 @@
 
     def feed(self, data: bytes) -> tuple[h11.Response, bytes] | None:
         """The response and its body once whole; raises h11.RemoteProtocolError."""
+        if len(self._first) < len(START):  # h11 would await the end of a head that noise never has
+            self._first += data[: len(START) - len(self._first)]
+            if not START.startswith(self._first):
+                raise h11.RemoteProtocolError("not HTTP/1")
         self._connection.receive_data(data)
         while True:
             event = self._connection.next_event()
@@ -79,7 +86,7 @@
         try:
             found = self._http.feed(data)
         except h11.RemoteProtocolError:
-            return Answer(Outcome.ERROR)
+            return Answer(Outcome.ERROR, spoilt=True)
         return self._answer(*found) if found else None
 
     def end(self) -> Answer | None:
@@ -102,15 +109,18 @@
         if envelope.value is not None:
             headers.append((b"Content-Length", b"%d" % len(envelope.value)))
         target = b"/" + quote(envelope.key, safe="!$&'()*+,;=:@/-._~").encode()
+        self._id = envelope.id
         self._write = envelope.write
         method = b"PUT" if self._write else b"GET"
         super().__init__(HttpExchange(method, target, headers, envelope.value or b""))
 
     def _answer(self, response: h11.Response, body: bytes) -> Answer:
         load = load_report(header(response, b"srv-load") or b"")
+        if header(response, b"req-id") not in (None, self._id):
+            return Answer(Outcome.ERROR, spoilt=True)  # where an answer names its request, it must be this
         if response.status_code == 200:
             if self._write and not (body.isascii() and body and all(33 <= byte < 127 for byte in body)):
-                return Answer(Outcome.ERROR)  # no receipt that could be passed on in a line
+                return Answer(Outcome.ERROR, spoilt=True)  # no receipt that could be passed on in a line
             return Answer(Outcome.OK, Served(body, receipt=self._write), load=load)
         # Only the origin's own word proves that it never ran: a bare 503 may come from anything between.
         declined = response.status_code in (503, 504) and header(response, b"srv-declined") == b"1"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -80,13 +80,13 @@
     def server_of(self, uid: str) -> str:
         return self.out[uid, self.tries[uid] - 1][0]
 
-    def end(self, uid: str, outcome: Outcome, final: bool | None = None) -> list[api.Action]:
+    def end(self, uid: str, outcome: Outcome, final: bool | None = None, **more) -> list[api.Action]:
         attempt = self.tries[uid] - 1
         server, sent = self.out.pop((uid, attempt))
         closed = outcome is Outcome.OK or uid in self.answers if final is None else final
         if outcome is Outcome.OK:
             self.answers.setdefault(uid, api.Log("served"))
-        return self.tell(api.AttemptEnded(uid, attempt, server, outcome, self.now - sent, closed))
+        return self.tell(api.AttemptEnded(uid, attempt, server, outcome, self.now - sent, closed, **more))
 
     def pass_time(self, ns: int) -> None:
         """Move the clock on, ringing what comes due on the way."""
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -135,6 +135,23 @@
     play(test)
 
 
+@pytest.mark.parametrize("late", [False, True])
+def test_bytes_that_nobody_asked_for_end_the_connection_and_answer_no_other_request(late):
+    async def test():
+        answers = [VALUE, VALUE] if late else [VALUE + VALUE, VALUE]
+        async with Peer(lambda _: answers.pop(0)) as peer:
+            bench = Bench(peer.port)
+            assert await bench.outcome() is Outcome.OK  # the good answer before them counts
+            if late:
+                assert bench.delivery._idle
+                peer.writers[0].write(VALUE)
+            await until(lambda: not bench.delivery._idle and bench.delivery._open == 0)
+            assert await bench.outcome() is Outcome.OK and peer.connections == 2
+            await bench.delivery.close()
+
+    play(test)
+
+
 def test_one_attempt_a_connection_and_no_more_connections_than_there_is_room():
     async def test():
         async with Peer(lambda _: b"") as peer:
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -150,7 +150,10 @@
         (b"HD Oa1 c7\r\n", Outcome.ERROR, None),
         (b"VA 99999 Oa1\r\n", Outcome.ERROR, None),
         (b"VA 2 Oa1\r\nabcd", Outcome.ERROR, None),
-        (b"x" * 3000, Outcome.ERROR, None),
+        (b"VA 2 Oa1 " + b"x" * 3000, Outcome.ERROR, None),
+        (b"VA 3000000000 Oa1\r\n", Outcome.ERROR, None),
+        (b"\x93", Outcome.ERROR, None),  # noise is not waited upon to its end
+        (b"VA 2 Oa1 h1 L\xff=,qps=\r\nok\r\n", Outcome.OK, 1),  # an unreadable report spoils no answer
     ],
 )
 def test_what_a_cache_server_answers(line, outcome, note):
@@ -163,6 +166,21 @@
     assert exchange.feed(b"EN Oa1\r\nEN").outcome is Outcome.MISS and not exchange.reusable
 
 
+def test_only_what_cannot_be_read_counts_as_spoilt_and_answers_ahead_of_the_origins_are_passed_over():
+    for text in (b"VA 0 Oother\r\n\r\n", b"VA x Oa1\r\n", b"%"):
+        assert CacheExchange(envelope(), 1.0).feed(text).spoilt
+    assert not CacheExchange(envelope(), 1.0).feed(b"SERVER_ERROR failed\r\n").spoilt
+    early = b"HTTP/1.1 103 Early\r\n\r\n" * 2
+    for text, spoilt in (
+        (early + HTTP, False),
+        (HTTP.replace(b"Srv-Load", b"Req-Id"), True),
+        (b"?\r\n", True),
+    ):
+        exchange = OriginExchange(envelope(), "o:1")
+        exchange.question()
+        assert exchange.feed(text).spoilt is spoilt
+
+
 @pytest.mark.parametrize(
     ("head", "outcome"),
     [
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -115,3 +115,33 @@
     router.end(uid, Outcome.MISS)
     router.pass_time(2_000_000_000)
     assert isinstance(router.answers[uid], api.Refuse)
+
+
+def test_a_spoilt_answer_is_asked_for_again_where_the_key_is_and_ejects_nobody():
+    """Guards the origin: each spoilt answer moved keys away, or took the only origin out of reach."""
+    router = Router()
+    for i in range(100):
+        uid = router.ask(f"w{i}")
+        router.now += 1_000_000
+        router.end(uid, Outcome.OK)
+    home = router.server_of(router.ask("k"))
+    uid = router.ask("k")
+    assert router.server_of(uid) == home
+    router.now += 1_000_000
+    router.end(uid, Outcome.ERROR, spoilt=True)
+    assert router.server_of(uid) == home
+    router.end(uid, Outcome.ERROR, spoilt=True)
+    assert router.server_of(uid) != home  # twice is enough
+    uid = router.ask("other")
+    router.end(uid, Outcome.MISS)
+    origin = router.server_of(uid)
+    router.end(uid, Outcome.ERROR, spoilt=True)  # it may be stored by now
+    router.end(uid, Outcome.MISS)
+    assert router.server_of(uid) == origin
+    for i in range(200):
+        uid = router.ask(f"n{i}")
+        router.now += 1_000_000
+        spoilt = i % 25 == 24
+        router.end(uid, Outcome.ERROR if spoilt else Outcome.OK, final=True, spoilt=spoilt)
+    router.balancer.refresh_shares()
+    assert min(router.balancer.shares.values()) > 0.8
