Keep gates open where a sick server refuses, and bound what failures weigh

A probe (the module logging its gates each 250 ms) showed at 17.5 s a gate of the caches at its floor of 3 with 92 requests waiting, while five servers had 0 in flight, and a fleet cost of 8,500 (usual: 1).

Lines at fault, in decide.py: - on_attempt_ended counted every FULL against the gate, also those of a server already known as sick. A full small box refuses at once, so the narrower the gate the larger its part of the outcomes: above 20% for seconds. - pick let such a server hold MIN_CAP (2) of the 3 to 5 places there were. A sick one holds one now. - Gate.note narrowed from what was in flight in that moment: 16 to 3 in one step in a lull. Now from the round's most. - note_cost weighed a failure against the fleet's cost, which holds failures: it climbed without end, and nothing but failures told the servers apart any more. Now against the mean of what goes well.

Ruled out: CPU (0.18 of a core), descriptors (199 of 384), time-outs (5 a window).

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -87,6 +87,7 @@
     floor: float = 1.0
     step: float = 1.0  # what a good round adds to the limit
     inflight: int = 0
+    peak: int = 0  # of what was in flight in this round
     next_at: int = 0  # with a limit under one: the next attempt may go then
     timer_at: int = 0
     narrowed_at: int | None = None
@@ -127,12 +128,15 @@
         if narrowed:
             self.starting = False
             self.narrowed_at = now
-            base = min(self.limit, self.inflight + 1)  # a limit that was never reached tells nothing
+            # A limit that was never reached tells nothing. It is what was in flight at the most that counts:
+            # few in the moment of a lull made one narrowing close a gate for seconds.
+            base = min(self.limit, max(self.peak, self.inflight) + 1)
             self.limit = max(self.floor, base * (1 - 0.3 * self.slow / self.seen))
         elif self.inflight + 1 >= 0.7 * self.limit:
             self.limit += self.limit if self.starting else max(self.step, 0.05 * self.limit)
         self.round_from = now
         self.seen = self.slow = 0
+        self.peak = self.inflight
         return narrowed
 
 
@@ -184,6 +188,7 @@
         self.stale_after = math.inf  # idle time
         self.crowded_until = 0
         self.fleet_cost: float | None = None
+        self.good_cost: float | None = None  # mean of the attempts that did not fail, at whichever server
         self.kinds: dict[int, float] = {}  # mean cost at machines of a kind
         self.shares: dict[str, float] = {}  # of each ready server, not older than SHARES_AGE
         self.share_sum = 0.0
@@ -406,7 +411,8 @@
 
         def free(name: str) -> bool:
             server = self.servers[name]
-            cap = max(MIN_CAP, math.ceil((1 + EPSILON) * average * shares[name]))
+            least = MIN_CAP if shares[name] >= SICK else 1
+            cap = max(least, math.ceil((1 + EPSILON) * average * shares[name]))
             return server.inflight < cap and self.cold_room(server, request)
 
         if request.prefer in shares and request.prefer not in seen and free(request.prefer):
@@ -496,9 +502,16 @@
         if not expected:
             return
         cost = latency_ns / expected
-        worst = cost if self.fleet_cost is None else self.fleet_cost * HEALTHY / LEAST_SHARE
+        # A failure is weighed against what goes well. Guards against costs that climb by themselves: weighed
+        # against the fleet's cost, which holds failures too, each made the next one cost more, without end,
+        # until nothing but failures told the servers apart.
+        usual_cost = self.good_cost or cost
+        worst = usual_cost * HEALTHY / LEAST_SHARE
         if spoilt:  # all servers alike may spoil a few: only many in a row shall tell against one
-            cost = max(cost, SPOILT_COST * (self.fleet_cost or cost))
+            cost = max(cost, SPOILT_COST * usual_cost)
+        elif not failed:
+            cost = min(cost, worst)
+            self.good_cost = usual_cost + 0.03 * (cost - usual_cost)
         cost = worst if failed else min(cost, worst)
         kind = server.member.kind
         self.kinds[kind] = self.kinds.get(kind, cost) + 0.03 * (cost - self.kinds.get(kind, cost))
@@ -566,6 +579,7 @@
         known.inflight += 1
         gate = self.gate_of(known)
         gate.inflight += 1
+        gate.peak = max(gate.peak, gate.inflight)
         if gate is self.caches and self.warmth(known) < 1:
             known.recent.append((self.now, self.work(request)))
             known.recent_work += self.work(request)
@@ -664,8 +678,9 @@
             # What a server already known as sick fails to do is its own trouble, not the fleet's: a lost zone
             # must not starve the servers that are left. Where all fail, none stands out and all count.
             # Nor do connections tell of it: those that fail, those that were dropped, the time to open one.
+            # Nor do the quick refusals of a sick server: counted, they keep a gate narrow while others idle.
             own_trouble = unreached or dropped or self.health(known) < SICK
-            if good or event.outcome is Outcome.FULL or not own_trouble:
+            if good or not own_trouble:
                 narrowed = gate.note(self.now, late or failed, attempt.sent_at)
                 if narrowed is not None:
                     self.spare = self.spare / 2 if narrowed else min(1.0, self.spare + 0.05)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,7 +4,7 @@
 
 from flintridge import api
 from flintridge.api import ListKind, MemberState, Outcome
-from flintridge.decide import LEAST_SHARE, SICK, Gate
+from flintridge.decide import HEALTHY, LEAST_SHARE, SICK, Gate
 
 
 def rounds(gate: Gate, now: int, slow: bool, count: int = 40) -> int:
@@ -437,3 +437,52 @@
     router.tell(api.MemberList(ListKind.DELTA, 4, (api.Member("newer:80"),)))
     names = {s: router.balancer.known[known.number] for s, known in router.balancer.servers.items()}
     assert all(s == name for s, name in names.items()) and len(names) == 5
+
+
+def test_failures_everywhere_do_not_make_costs_climb_without_end():
+    """Each failure was weighed against a fleet's cost that held the failures before: 10,000 times the usual
+    within seconds of full queues, and a share of a tenth for servers that were well."""
+    router = Router(count=6)
+    for i in range(600):
+        uid = router.ask(f"k{i}")
+        router.pass_time(10 * MS)
+        router.end(uid, Outcome.FULL if i % 3 == 0 and i > 60 else Outcome.OK, final=True)
+    balancer = router.balancer
+    assert balancer.fleet_cost <= HEALTHY / LEAST_SHARE * 1.1
+    balancer.refresh_shares()
+    assert min(balancer.shares.values()) > 0.5
+
+
+def test_the_quick_refusals_of_a_sick_server_narrow_no_gate_while_others_are_well():
+    """One small server left full: a gate at its floor, a hundred requests waiting, and four servers idle."""
+    router = Router(count=6)
+    for i in range(300):
+        uid = router.ask(f"k{i}")
+        router.pass_time(10 * MS)
+        sick = router.server_of(uid) == "10.0.0.0:80"
+        router.end(uid, Outcome.FULL if sick else Outcome.OK, final=True)
+    caches = router.balancer.caches
+    assert router.balancer.shares["10.0.0.0:80"] < SICK
+    for key in (f"n{i}" for i in range(1000)):
+        uid = router.ask(key)
+        if router.server_of(uid) == "10.0.0.0:80":
+            break
+        router.end(uid, Outcome.OK)
+    other = router.ask(key)
+    assert router.server_of(other) != "10.0.0.0:80"  # to be tried on, not to be filled
+    router.end(other, Outcome.OK)
+    before = caches.limit
+    for _ in range(40):
+        router.end(uid, Outcome.FULL, final=True)
+        uid = router.ask(key)
+        router.pass_time(10 * MS)
+        for _ in range(2):
+            router.end(router.ask(key), Outcome.OK)  # at the next one
+    assert router.server_of(uid) == "10.0.0.0:80" and caches.limit >= before
+
+
+def test_a_gate_narrows_from_the_most_in_flight_not_from_a_lull():
+    gate = Gate(40.0)
+    gate.peak, gate.inflight = 38, 2
+    rounds(gate, 0, slow=True, count=8)
+    assert gate.limit > 20
