Mend the test of a sick server's refusals: its good answers took no time at all

Seen: the test let served attempts end after 0 ms, so the mean of what goes well became 0 and nobody counted as sick; it also began with the gate at its floor, where nothing can narrow. With 10 ms each and a limit of 12 it passes, and fails when either the counted refusals or the two places of a sick server are put back (both tried).

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -467,17 +467,20 @@
         uid = router.ask(key)
         if router.server_of(uid) == "10.0.0.0:80":
             break
+        router.pass_time(10 * MS)
         router.end(uid, Outcome.OK)
     other = router.ask(key)
     assert router.server_of(other) != "10.0.0.0:80"  # to be tried on, not to be filled
+    router.pass_time(10 * MS)
     router.end(other, Outcome.OK)
-    before = caches.limit
+    before = caches.limit = 12.0
     for _ in range(40):
         router.end(uid, Outcome.FULL, final=True)
         uid = router.ask(key)
-        router.pass_time(10 * MS)
-        for _ in range(2):
-            router.end(router.ask(key), Outcome.OK)  # at the next one
+        for _ in range(2):  # at the next server
+            good = router.ask(key)
+            router.pass_time(10 * MS)
+            router.end(good, Outcome.OK)
     assert router.server_of(uid) == "10.0.0.0:80" and caches.limit >= before
 
 
