Ask again as soon as an answer is late and far beyond the usual, also at the origin

Lines at fault: decide.patience waited for a cache until another attempt could just still be answered before the client's end, where answers after the aim have a share of their worth: so the next answer always came after the aim. For the origin it did not wait for less than all the time there was. Now: until the answer is late for its class and takes four times the usual. decide.next_step gave a request up after one lost answer of the only origin; it may be asked once more, unless it turned the request away.

Ruled out: refusals and full queues (1 to 4 in a window), CPU (0.09 of a core).

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -34,6 +34,7 @@
 DOUBT = 2.0  # outcomes like those of its kind that a server is credited with before its own
 SPOILT_COST = 2.0  # of an answer that could not be read, in multiples of the fleet's
 FADE = 5000 * MS  # half of the evidence on a server is gone after this
+PATIENT = 4.0  # times the usual latency that an answer may take, at the least
 SILENT = (Outcome.TIMEOUT, Outcome.RESET)
 STALE_SPAN = 20_000 * MS  # a trouble of connections is looked for again after this
 SHARES_AGE = 500 * MS  # a server's own outcomes count at once; costs and warm-up move slower than this
@@ -612,19 +613,21 @@
                 self.stale_after = 0.8 * idle
 
     def patience(self, request: Held, gate: Gate) -> int:
-        """How long to wait for a cache's answer before another attempt; 0: until the client gives up.
+        """How long to wait for an answer before another attempt; 0: until the client gives up.
 
-        As long as another can still be in time, at the least until this one counts as slow, if rule 2 allows
-        another. Guards against answers that get lost, connections dropped unseen and machines that hang; not
-        used while the gate is narrow, as it would add to an overload. It could harm where hints are far low.
+        Until this one counts as slow and takes some times the usual, if rule 2 allows another and that can
+        still be in time. Guards against answers that get lost or stop short, connections that fall silent and
+        machines that hang; waited for longer, the next answer comes after its aim. Not used while the gate is
+        narrow, as it would add to an overload. It could harm where hints are far low.
         """
         cls = request.cls
         calm = gate.calm(self.now) or self.stale_after < math.inf
-        if gate is self.origin or self.is_last(request) or not calm or not self.may_repeat(request):
+        if self.is_last(request) or not calm or not self.may_repeat(request):
             return 0
-        least = (request.event.work_ns or 0) + int(LATE_PART * cls.aim_ns)
-        wait = self.last_start(request, gate) - self.now
-        return wait if wait >= least and (cls.effect is Effect.SAFE or wait < cls.window_ns) else 0
+        usual = self.latency.get((request.event.cls, gate is self.origin), 0.0)
+        wait = max((request.event.work_ns or 0) + int(LATE_PART * cls.aim_ns), int(PATIENT * usual))
+        in_time = wait <= self.last_start(request, gate) - self.now
+        return wait if in_time and (cls.effect is Effect.SAFE or wait < cls.window_ns) else 0
 
     @staticmethod
     def may_repeat(request: Held) -> bool:
@@ -716,8 +719,10 @@
             self.enter(request, self.origin)  # the last attempt is kept for it: another cache could only miss
         else:
             # An answer spoilt on its way says little of its server, which has the key by now: it may be asked
-            # once more. Else each one would cost a miss elsewhere and a fetch, or the only origin.
-            again = spoilt and attempt.server not in request.spoilt
+            # once more. Else each one would cost a miss elsewhere and a fetch, or the only origin. So may an
+            # origin whose answer was lost; not one that turns requests away, which has too many of them.
+            lost = attempt.server in self.origins and outcome is not Outcome.FULL
+            again = (spoilt or lost) and attempt.server not in request.spoilt
             (request.spoilt if again else request.failed).append(attempt.server)
             self.route(request)
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -330,7 +330,7 @@
         router.now += 20 * MS
         router.end(uid, Outcome.OK)
     router.ask("k")
-    assert 250 * MS < router.sends[-1].timeout_ns < 500 * MS  # slow from 250 on, late from 500 on
+    assert router.sends[-1].timeout_ns == 250 * MS  # slow from then on; waited for longer, the next is late
     router.ask("k", 2)  # unsafe
     assert router.sends[-1].timeout_ns == 0
     router.balancer.caches.narrowed_at = router.now
@@ -489,3 +489,17 @@
     gate.peak, gate.inflight = 38, 2
     rounds(gate, 0, slow=True, count=8)
     assert gate.limit > 20
+
+
+def test_a_lost_answer_of_the_origin_is_asked_for_again_but_not_its_refusal():
+    for outcome, again in ((Outcome.TIMEOUT, True), (Outcome.RESET, True), (Outcome.FULL, False)):
+        router = Router(count=3)
+        uid = router.ask("k")
+        router.end(uid, Outcome.MISS)
+        origin = router.server_of(uid)
+        assert router.sends[-1].timeout_ns == 250 * MS  # not until the client gives up
+        router.pass_time(250 * MS)
+        router.end(uid, outcome)
+        assert router.server_of(uid) != origin  # it may be stored by now
+        router.end(uid, Outcome.MISS)
+        assert (uid not in router.answers and router.server_of(uid) == origin) is again
