Learn dead connections by their age, and let broken ones count little against servers and gates

Lines at fault: - decide.on_attempt_ended took a reset for a slow outcome: with a few full queues over 20%, so gates closed under resets that are no load. note_cost weighed one like a failing server; now 4 times the usual. - decide.note_cost let failures into the cost of a kind, which idle machines are judged by: one that failed made all of its kind look sick, and itself usual. Only what goes well tells of a kind now. - delivery._take trusted the settings on idle connections (5 s) where servers dropped them sooner, unseen; the module reckons by server, not by connection. Delivery learns the age from lost questions, and tells that the connection was to blame, so that the same server, which has the key, may be asked once more.

Ruled out for resets that remain: 623 of them break while the request is being written, which nothing here can foresee.

--- a/flintridge/api.py
+++ b/flintridge/api.py
@@ -230,7 +230,7 @@
     final: bool  # the request is finished
     note: int | None = None  # 1 hit, 2 miss or fetched, 3 miss while a fetch is out
     load: dict[str, float] = field(default_factory=dict)
-    spoilt: bool = False  # an error: there was an answer, but it could not be read
+    spoilt: bool = False  # the answer could not be read, or the connection kept for it had ended before
 
 
 @dataclass(slots=True, frozen=True)
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -32,7 +32,8 @@
 BAR = 1000 * MS  # of a server that could not be reached, at first
 LONGEST_BAR = 16 * BAR
 DOUBT = 2.0  # outcomes like those of its kind that a server is credited with before its own
-SPOILT_COST = 2.0  # of an answer that could not be read, in multiples of the fleet's
+SPOILT_COST = 2.0  # of an answer that could not be read, in multiples of the usual
+BROKEN_COST = 4.0  # of a connection that broke
 FADE = 5000 * MS  # half of the evidence on a server is gone after this
 PATIENT = 4.0  # times the usual latency that an answer may take, at the least
 SILENT = (Outcome.TIMEOUT, Outcome.RESET)
@@ -513,25 +514,29 @@
     def fade(self, server: Server) -> float:
         return server.evidence * 0.5 ** ((self.now - server.cost_at) / FADE)
 
-    def note_cost(self, server: Server, request: Held, latency_ns: int, failed: bool, spoilt: bool) -> None:
+    def note_cost(
+        self, server: Server, request: Held, event: api.AttemptEnded, failed: bool, spoilt: bool
+    ) -> None:
         usual = self.latency.get((request.event.cls, False))
         expected = request.event.work_ns or usual
         if not expected:
             return
-        cost = latency_ns / expected
+        cost = event.latency_ns / expected
         # A failure is weighed against what goes well. Guards against costs that climb by themselves: weighed
         # against the fleet's cost, which holds failures too, each made the next one cost more, without end,
         # until nothing but failures told the servers apart.
         usual_cost = self.good_cost or cost
         worst = usual_cost * HEALTHY / LEAST_SHARE
-        if spoilt:  # all servers alike may spoil a few: only many in a row shall tell against one
-            cost = max(cost, SPOILT_COST * usual_cost)
+        if spoilt or event.outcome is Outcome.RESET:  # at all alike a few may be: many in a row shall tell
+            cost = max(cost, (SPOILT_COST if spoilt else BROKEN_COST) * usual_cost)
         elif not failed:
             cost = min(cost, worst)
             self.good_cost = usual_cost + 0.03 * (cost - usual_cost)
+            # A kind is as fast as its machines that are well. Guards idle ones against looking as sick as one
+            # of their kind that fails: it then seemed no worse than usual, and kept its keys.
+            kind = server.member.kind
+            self.kinds[kind] = self.kinds.get(kind, cost) + 0.03 * (cost - self.kinds.get(kind, cost))
         cost = worst if failed else min(cost, worst)
-        kind = server.member.kind
-        self.kinds[kind] = self.kinds.get(kind, cost) + 0.03 * (cost - self.kinds.get(kind, cost))
         weight = min(9.0, self.fade(server))
         server.cost += (cost - server.cost) / (weight + 1)
         server.evidence, server.cost_at = weight + 1, self.now
@@ -686,7 +691,9 @@
         gate = self.gate_of(known)
         gate.ended(self.now, event.latency_ns)
         good = event.outcome in (Outcome.OK, Outcome.MISS)
-        failed = not good and not event.spoilt
+        # Nor does a connection that breaks tell of load, or of its server: one that died is refused next.
+        spoilt = event.spoilt or event.outcome is Outcome.RESET
+        failed = not good and not spoilt
         unreached = event.outcome is Outcome.CONNECT_FAILED
         dropped = event.outcome in SILENT and (attempt.idle or 0) > self.stale_after
         if event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
@@ -708,7 +715,7 @@
             self.note_idle(known, attempt, event.outcome)
             self.note_reached(known, event)
             if not dropped and event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, *SILENT):
-                self.note_cost(known, request, event.latency_ns, failed, event.spoilt)
+                self.note_cost(known, request, event, failed, event.spoilt)
         if event.outcome is Outcome.OK:
             usual = (request.event.cls, gate is self.origin)
             known_latency = self.latency.get(usual, float(event.latency_ns))
@@ -726,7 +733,7 @@
         if request.done:
             self.forget(request)
         elif not any(a.open for a in request.attempts):
-            self.next_step(request, attempt, event.outcome, event.spoilt)
+            self.next_step(request, attempt, event.outcome, spoilt)
         self.admit(gate)
 
     def next_step(self, request: Held, attempt: Attempt, outcome: Outcome, spoilt: bool = False) -> None:
@@ -735,9 +742,9 @@
         elif self.settings.mode is api.CacheMode.ASIDE and (outcome is Outcome.MISS or self.is_last(request)):
             self.enter(request, self.origin)  # the last attempt is kept for it: another cache could only miss
         else:
-            # An answer spoilt on its way says little of its server, which has the key by now: it may be asked
-            # once more. Else each one would cost a miss elsewhere and a fetch, or the only origin. So may an
-            # origin whose answer was lost; not one that turns requests away, which has too many of them.
+            # An answer spoilt or broken off says little of its server, which has the key by now: it may be
+            # asked once more. Else each one would cost a miss elsewhere and a fetch, or the only origin. So
+            # may an origin whose answer was lost; not one that turns requests away: it has too many of them.
             lost = attempt.server in self.origins and outcome is not Outcome.FULL
             again = (spoilt or lost) and attempt.server not in request.spoilt
             (request.spoilt if again else request.failed).append(attempt.server)
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -21,6 +21,9 @@
 
 IDLE_PART = 0.8  # of the time after which a server closes an idle connection; we close it by then
 SWEEP = 250.0
+AGED = 200.0  # a connection idle for less was in use just now
+STALE_SPAN = 20_000.0  # so long counts what was seen of old connections
+STALE_PART = 0.8  # of the least age at which most were lost
 PROBE_TIME = 500.0
 
 
@@ -62,6 +65,14 @@
     idle_since: float = 0.0
     asked: bool = False  # the question was written whole
     read: int = 0  # bytes
+    aged: float = (
+        0.0  # how long it had been idle when it was taken for the question that is out; 0: it is new
+    )
+    before: int = 0  # bytes read until then
+
+    @property
+    def unanswered(self) -> bool:
+        return self.read == self.before
 
     @property
     def broken(self) -> bool:
@@ -107,7 +118,9 @@
     ) -> None:
         self._transports = transports
         self._connect_time = to_ms(settings.limits.connect_timeout_ns)
-        self._idle_time = IDLE_PART * to_ms(settings.limits.conn_idle_ns)
+        self._longest = self._idle_time = IDLE_PART * to_ms(settings.limits.conn_idle_ns)
+        self._ages: deque[tuple[float, float, bool]] = deque(maxlen=64)  # when, how old, whether lost
+        self._stale_at = 0.0
         self._clock = clock
         self.room = room
         self._report = report
@@ -156,6 +169,7 @@
                 link = await self._connect(transport.address, limit)
             exchange = self._exchange(attempt, transport)
             answer = await within(self._clock, attempt.until - self._clock.now(), link.ask(exchange))
+            self._note_age(link.aged, False)
             if exchange.reusable:
                 self._keep(attempt.server, link)
                 link = None
@@ -167,7 +181,10 @@
             answer = Answer(Outcome.MOOT)  # never sent, and no sign of its server
         except OSError:
             if link is not None and link.asked:
-                answer = Answer(Outcome.RESET)
+                # One kept for a while that ends without a byte had ended before, which nobody said.
+                stale = link.unanswered and link.aged >= AGED
+                answer = Answer(Outcome.RESET, spoilt=stale)
+                self._note_age(link.aged, stale)
         except asyncio.CancelledError:
             answer = Answer(Outcome.CANCELLED)
         except Exception as error:
@@ -218,6 +235,7 @@
             if not link.broken and idle < self._idle_time and link.address == transport.address:
                 if not links:
                     del self._idle[server]
+                link.aged, link.before = idle, link.read
                 return link
             self._close(link)
         self._idle.pop(server, None)
@@ -232,6 +250,26 @@
         link.reader.unasked = lambda: self._unasked(server, link)
         self._idle.setdefault(server, deque()).append(link)
 
+    def _note_age(self, aged: float, lost: bool) -> None:
+        """Learn after which time a kept connection is most likely dead, though the settings say later.
+
+        Guards requests against being written to connections that were dropped unseen. Only where most of
+        those as old were lost: resets at any age tell nothing. After STALE_SPAN an old one is tried again.
+        """
+        now = self._clock.now()
+        if aged < AGED:
+            return
+        self._ages.append((now, aged, lost))
+        if not lost:
+            return
+        limit, count, gone = self._longest, 0, 0
+        recent = (entry for entry in self._ages if entry[0] > now - STALE_SPAN)
+        for _, age, was_lost in sorted(recent, key=lambda entry: -entry[1]):
+            count, gone = count + 1, gone + was_lost
+            if was_lost and gone >= 2 and gone > count / 2:
+                limit = STALE_PART * age
+        self._idle_time, self._stale_at = limit, now
+
     def _unasked(self, server: str, link: Link) -> None:
         """Bytes nobody asked for, or the end, on an idle connection: it is of no use any more."""
         self._counters.add("connections_unasked")
@@ -279,6 +317,8 @@
     def _sweep(self) -> None:
         """Drop what a server has ended, or is about to."""
         now = self._clock.now()
+        if now >= self._stale_at + STALE_SPAN:
+            self._idle_time = self._longest
         for server, links in list(self._idle.items()):
             stay: deque[Link] = deque()
             for link in links:
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -44,7 +44,7 @@
     served: Served | None = None
     note: int | None = None
     load: dict[str, float] = field(default_factory=dict)
-    spoilt: bool = False  # an error: what came could not be read as an answer to this
+    spoilt: bool = False  # what came could not be read as an answer to this, or a kept connection had ended
 
 
 class Reply(Protocol):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -503,3 +503,35 @@
         assert router.server_of(uid) != origin  # it may be stored by now
         router.end(uid, Outcome.MISS)
         assert (uid not in router.answers and router.server_of(uid) == origin) is again
+
+
+def test_one_sick_machine_does_not_make_others_of_its_kind_look_sick():
+    """Guards the measure of the fleet: with idle ones as bad, one that refused all kept its keys."""
+    router = Router(count=6)
+    for i in range(400):
+        uid = router.ask(f"k{i}")
+        sick = router.server_of(uid) == "10.0.0.0:80"
+        router.pass_time(10 * MS)
+        router.end(uid, Outcome.FULL if sick else Outcome.OK, final=True)
+    balancer = router.balancer
+    balancer.now = router.now + 60 * S  # what is known of each by itself has faded
+    balancer.refresh_shares()
+    costs = [balancer.likely_cost(s, 1.0) for s in balancer.servers.values() if s.evidence]
+    assert max(costs) < 1.3, costs
+
+
+def test_connections_that_break_at_all_servers_alike_are_no_sign_of_load():
+    """Guards gates and shares: with one in eight reset, gates closed and healthy servers lost their keys."""
+    router, same = Router(count=6), 0
+    for i in range(400):
+        uid = router.ask(f"k{i}")
+        home = router.server_of(uid)
+        router.pass_time(10 * MS)
+        router.end(uid, Outcome.RESET if i % 4 == 0 else Outcome.OK)
+        if i % 4 == 0:
+            same += router.server_of(uid) == home
+            router.pass_time(10 * MS)
+            router.end(uid, Outcome.OK)
+    assert same > 80  # of 100: it has the key
+    router.balancer.refresh_shares()
+    assert router.balancer.caches.narrowed_at is None and min(router.balancer.shares.values()) > 0.5
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -177,6 +177,26 @@
     play(test)
 
 
+def test_connections_dropped_unseen_are_learnt_of_by_their_age():
+    """Guards against writing to what is dead: servers dropped idle connections long before their time."""
+
+    async def test():
+        settings = api.Settings(limits=api.Limits(conn_idle_ns=5_000_000_000))
+        answers = [VALUE, "rst", VALUE, "rst", VALUE, VALUE, VALUE]
+        async with Peer(lambda _: answers.pop(0)) as peer:
+            bench = Bench(peer.port, settings=settings)
+            for expected in (Outcome.OK, Outcome.RESET, Outcome.OK, Outcome.RESET, Outcome.OK):
+                assert await bench.outcome() is expected
+                bench.clock.go(1500)
+            assert peer.connections == 3
+            assert await bench.outcome() is Outcome.OK and peer.connections == 4  # closed before it is as old
+            bench.clock.go(1000)
+            assert await bench.outcome() is Outcome.OK and peer.connections == 4
+            await bench.delivery.close()
+
+    play(test)
+
+
 def test_nothing_is_kept_of_a_server_that_is_never_used_again():
     async def test():
         async with Peer(lambda _: VALUE) as peer:
