Put a node together in one object, Node, used by the daemon and whatever embeds it

Core and SenderSide gain close(), after which no timer of a closed node reaches the module. Client connections and delivery tasks are kept in dicts: as sets they were walked by memory address, so two runs of the same node could differ. The clock takes the Unix time of its start as an argument; the parts take the log as a protocol, EventLog.

--- a/flintridge/net/clock.py
+++ b/flintridge/net/clock.py
@@ -32,13 +32,13 @@
 
 
 class SystemClock:
-    """The event loop's clock."""
+    """The event loop's clock; `unix_ms` is the Unix time at this moment, by default the system's."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, unix_ms: float | None = None) -> None:
         self._loop = loop
         # Fixed at the start: a restart is told by a changed instant, so a stepped system clock
         # must not move the instants that were converted before.
-        self._unix_origin = time.time() * 1000 - self.now()
+        self._unix_origin = (time.time() * 1000 if unix_ms is None else unix_ms) - self.now()
 
     def now(self) -> float:
         return self._loop.time() * 1000
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -11,7 +11,7 @@
 from flintridge.net.clock import Clock, Timer, to_ms, to_ns
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Answer, DeliveryAttempt, Envelope, Reply
-from flintridge.net.log import Log
+from flintridge.net.log import EventLog
 
 # A client's time counts from its sending, and the answer takes its way back: answers are due this much early.
 MARGIN = 10.0
@@ -63,7 +63,7 @@
         settings: api.Settings,
         clock: Clock,
         held_bytes: int,
-        log: Log,
+        log: EventLog,
         counters: Counters,
     ) -> None:
         self.held_bytes = held_bytes  # of values in open requests, at the most
@@ -78,6 +78,7 @@
         self._held_bytes = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
+        self._closed = False
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
 
     def attach(self, delivery: DeliveryDriver, watch: WatchDriver) -> None:
@@ -130,6 +131,16 @@
             self._answered(uid, request)
             self._tell(api.ClientGone(uid))
 
+    def close(self) -> None:
+        """Nothing is told to the module any more, whatever timers still fall due; open requests end unanswered.
+
+        Guards an event loop that goes on without this node against calls and tasks of a node that is closed.
+        """
+        self._closed = True
+        for request in self._open.values():
+            request.guard.cancel()
+        self._open.clear()
+
     def told(self, members: api.MemberList) -> None:
         self._tell(members)
 
@@ -170,6 +181,8 @@
 
     def _tell(self, event: api.Event) -> None:
         """The module is not re-entrant: what happens while it decides waits its turn."""
+        if self._closed:
+            return
         self._events.append(event)
         if self._handling:
             return
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -13,7 +13,7 @@
 from flintridge.net.clock import Clock, OutOfTime, to_ms, within
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Answer, DeliveryAttempt, Exchange
-from flintridge.net.log import Log
+from flintridge.net.log import EventLog
 from flintridge.net.memcache import CacheExchange, CacheProbe
 from flintridge.net.origin import OriginExchange, OriginProbe
 from flintridge.net.transport_map import Transport, TransportMap
@@ -113,7 +113,7 @@
         clock: Clock,
         room: int,
         report: Callable[[DeliveryAttempt, Answer], None],
-        log: Log,
+        log: EventLog,
         counters: Counters,
     ) -> None:
         self._transports = transports
@@ -128,7 +128,7 @@
         self._counters = counters
         self._open = 0  # connections, those being opened too
         self._idle: dict[str, deque[Link]] = {}  # by server, the latest used last
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}  # in their order, which a set would not keep
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
     def start(self, attempt: DeliveryAttempt) -> None:
@@ -151,11 +151,14 @@
             self.close_idle(server)
 
     def _track(self, task: asyncio.Task[None], attempt: DeliveryAttempt | None = None) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(self._ended)
         if attempt is not None:
             attempt.give_up = task.cancel
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        del self._tasks[task]
+
     # One attempt
 
     async def _carry(self, attempt: DeliveryAttempt) -> None:
--- a/flintridge/net/log.py
+++ b/flintridge/net/log.py
@@ -4,13 +4,21 @@
 import sys
 import threading
 import traceback
-from typing import BinaryIO
+from typing import BinaryIO, Protocol
 
 import orjson
 
 WAITING = 2048  # lines; more are dropped and counted
 
 
+class EventLog(Protocol):
+    """What the parts of a node write their events to."""
+
+    def event(self, event: str, **fields: object) -> None: ...
+
+    def error(self, event: str, error: BaseException, **fields: object) -> None: ...
+
+
 class Log:
     def __init__(self, name: str, sink: BinaryIO | None = None) -> None:
         self._name = name
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -10,7 +10,7 @@
 from flintridge.net.core import Core, IdInUse
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Envelope, Served
-from flintridge.net.log import Log
+from flintridge.net.log import EventLog
 from flintridge.net.transport_map import TransportMap
 from flintridge.settings import Address
 
@@ -207,7 +207,7 @@
         transports: TransportMap,
         clock: Clock,
         room: int,
-        log: Log,
+        log: EventLog,
         counters: Counters,
     ) -> None:
         self.core = core
@@ -218,7 +218,8 @@
         self.room = room
         self._log = log
         self._server: asyncio.Server | None = None
-        self._connections: set[SenderConnection] = set()
+        # A dict, not a set: it is walked in the order of arrival, and two nodes given the same do the same.
+        self._connections: dict[SenderConnection, None] = {}
         self._leaving = False  # connections are closed between requests
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
@@ -238,14 +239,14 @@
             return
         self.counters.add("connections_accepted")
         connection = SenderConnection(self, reader, writer)
-        self._connections.add(connection)
+        self._connections[connection] = None
         try:
             await connection.serve()
         except Exception as error:
             self.counters.add("connection_errors")
             self._log.error("connection_broke", error)
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
 
     def _free_one(self) -> bool:
         """Make place: what asked and is idle for longest goes first, then what never asked.
@@ -259,7 +260,7 @@
             return False
         oldest = min(unused, key=lambda c: (not c.asked, c.used_at))
         self.counters.add("connections_made_place")
-        self._connections.discard(oldest)
+        self._connections.pop(oldest, None)
         oldest.close()
         return True
 
@@ -294,6 +295,14 @@
         while any(c.unwritten for c in self._connections) and self.clock.now() < until:
             await sleep(self.clock, 20.0)
 
+    def close(self) -> None:
+        """The listener and every connection, at once; what was answered is still written out."""
+        self._sweep_timer.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
     def _close_idle(self) -> None:
         for connection in list(self._connections):
             self.between_requests(connection)
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -11,7 +11,7 @@
 from flintridge.api import ListKind, Member, MemberList, MemberState, Settings
 from flintridge.net.clock import Clock, OutOfTime, sleep, to_ns, within
 from flintridge.net.counters import Counters
-from flintridge.net.log import Log
+from flintridge.net.log import EventLog
 from flintridge.net.origin import HttpExchange
 from flintridge.settings import Address, ConfigError, NodeConfig
 
@@ -121,7 +121,7 @@
         transports: TransportMap,
         clock: Clock,
         tell: Callable[[MemberList], None],
-        log: Log,
+        log: EventLog,
         counters: Counters,
     ) -> None:
         self.discovery = discovery
--- /dev/null
+++ b/flintridge/node.py
@@ -0,0 +1,120 @@
+"""One node, put together from its parts: start, reload, leave, close. The only place that names all parts.
+
+The daemon (`__main__.py`), the lab and whoever embeds a node use the same object, so that what is measured is
+what serves. It reads no file, minds no signal and keeps nothing at module level.
+"""
+
+from dataclasses import dataclass, fields, replace
+
+from flintridge.decide import Balancer
+from flintridge.net.clock import Clock
+from flintridge.net.core import Core, Module
+from flintridge.net.counters import Counters
+from flintridge.net.delivery import Delivery
+from flintridge.net.log import EventLog
+from flintridge.net.sender import SenderSide
+from flintridge.net.transport_map import TransportMap, TransportWatch, known_list
+from flintridge.settings import NodeConfig
+
+CHANGEABLE = ("discovery", "sockets", "memory_mb")  # without a restart
+
+
+@dataclass(slots=True, frozen=True)
+class Reloaded:
+    """What a new configuration changed, by the names of `NodeConfig`, and what of it waits for a restart."""
+
+    changed: tuple[str, ...]
+    until_restart: tuple[str, ...]
+
+
+class Node:
+    """A node in the running event loop.
+
+    `clock` gives its time (float milliseconds), `log` takes its events, `module` stands in for the decision
+    module where a trial needs another one. Raises ConfigError where the configuration's list is malformed.
+    """
+
+    def __init__(
+        self,
+        config: NodeConfig,
+        clock: Clock,
+        log: EventLog,
+        counters: Counters | None = None,
+        module: Module | None = None,
+    ) -> None:
+        self.config = config
+        self.clock = clock
+        self.log = log
+        self.counters = counters or Counters()
+        settings = config.settings
+        self.transports = TransportMap(config.zones, config.kinds, settings, clock)
+        self._known = known_list(config, self.transports)
+        self.core = Core(
+            module or Balancer(settings, config.seed), settings, clock, config.held_bytes, log, self.counters
+        )
+        self.delivery = Delivery(
+            self.transports,
+            settings,
+            clock,
+            config.server_sockets,
+            self.core.attempt_ended,
+            log,
+            self.counters,
+        )
+        self.watch = TransportWatch(
+            config.discovery, self.transports, clock, self.core.told, log, self.counters
+        )
+        self.core.attach(self.delivery, self.watch)
+        self.side = SenderSide(
+            self.core, settings, self.transports, clock, config.client_sockets, log, self.counters
+        )
+        self._closed = False
+
+    async def start(self) -> int:
+        """Take the known list in and open the listener; its port. Raises OSError where it can't be opened."""
+        self.core.told(self._known)
+        listen = self.config.listen
+        port = await self.side.listen(listen)
+        self.log.event("serving", host=listen.host, port=port, members=len(self._known.members))
+        return port
+
+    def reload(self, new: NodeConfig) -> Reloaded:
+        """Take over from `new` what can change in service; no request and no connection is touched."""
+        self.counters.add("reloads")
+        old = self.config
+        # The list that the file holds is an old one; this node's own is newer.
+        names = [field.name for field in fields(NodeConfig) if field.name != "known"]
+        changed = [name for name in names if getattr(new, name) != getattr(old, name)]
+        now = {name: getattr(new, name) for name in changed if name in CHANGEABLE}
+        self.config = replace(old, **now)  # what holds, whatever else the file says
+        self.core.held_bytes = self.config.held_bytes
+        self.delivery.room, self.side.room = self.config.server_sockets, self.config.client_sockets
+        if self.watch.discovery != self.config.discovery:
+            self.watch.move(self.config.discovery)
+        done = Reloaded(tuple(now), tuple(name for name in changed if name not in now))
+        self.log.event("reloaded", changed=list(done.changed), until_restart=list(done.until_restart))
+        return done
+
+    def refuse_reload(self, error: Exception) -> None:
+        """A configuration that cannot be read changes nothing; it is counted and told."""
+        self.counters.add("reloads")
+        self.counters.add("reloads_refused")
+        self.log.event("reload_refused", error=str(error))
+
+    async def leave(self) -> None:
+        """Serve on for 0.7 s, answer all that was taken, then close."""
+        self.log.event("leaving")
+        await self.side.leave()
+        await self.close()
+        self.log.event("counters", **self.counters.snapshot())
+        self.log.event("left")
+
+    async def close(self) -> None:
+        """End now: nothing stays open or running. A client with a request open sees its connection end."""
+        if self._closed:
+            return
+        self._closed = True
+        self.side.close()
+        await self.watch.close()
+        await self.delivery.close()
+        self.core.close()
