--- /dev/null
+++ b/flintridge/lab/faults/__init__.py
@@ -0,0 +1,1 @@
+"""What goes wrong, and when."""
--- /dev/null
+++ b/flintridge/lab/load/__init__.py
@@ -0,0 +1,1 @@
+"""The clients: what they ask, when, and what they do with the answers."""
--- /dev/null
+++ b/flintridge/lab/seeds.py
@@ -0,0 +1,12 @@
+"""All randomness of a run from one seed, by name: what one part draws never moves what another one gets."""
+
+import random
+
+
+class Seeds:
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+
+    def of(self, name: str) -> random.Random:
+        """A generator of its own for `name`, the same in every process (text seeds go through SHA-512)."""
+        return random.Random(f"{self.seed}/{name}")
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -132,7 +132,7 @@
             self._tell(api.ClientGone(uid))
 
     def close(self) -> None:
-        """Nothing is told to the module any more, whatever timers still fall due; open requests end unanswered.
+        """Nothing is told to the module any more, whatever falls due; open requests end unanswered.
 
         Guards an event loop that goes on without this node against calls and tasks of a node that is closed.
         """
