--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -1,4 +1,4 @@
-"""The drivers on loopback against in-test peers; time is set by hand."""
+"""The drivers on loopback and in virtual time against in-test peers; deadlines are set by hand."""
 
 import asyncio
 import io
@@ -11,6 +11,7 @@
 
 from flintridge import api
 from flintridge.api import ListKind, Outcome
+from flintridge.lab import virtual
 from flintridge.net.core import Core
 from flintridge.net.delivery import SWEEP, Delivery
 from flintridge.net.envelope import DeliveryAttempt, Served
@@ -60,15 +61,18 @@
         return self.ended[-1]
 
 
-def play(test) -> None:
-    asyncio.run(test())
+@pytest.fixture(params=["sockets", "virtual"])
+def play(request):
+    """Runs a test on real sockets, or in virtual time: the drivers must not know the one from the other."""
+    run = asyncio.run if request.param == "sockets" else virtual.run
+    return lambda test: run(test())
 
 
 @pytest.mark.parametrize(
     ("answer", "outcome"),
     [(VALUE, Outcome.OK), (b"EN Oa1\r\n", Outcome.MISS), (None, Outcome.RESET), ("rst", Outcome.RESET)],
 )
-def test_an_attempt_ends_as_its_server_has_it(answer, outcome):
+def test_an_attempt_ends_as_its_server_has_it(play, answer, outcome):
     async def test():
         async with Peer(lambda _: answer) as peer:
             bench = Bench(peer.port)
@@ -78,7 +82,7 @@
     play(test)
 
 
-def test_a_refused_connection_never_ran():
+def test_a_refused_connection_never_ran(play):
     async def test():
         async with Peer(lambda _: None) as peer:
             bench = Bench(peer.port)
@@ -89,7 +93,7 @@
     play(test)
 
 
-def test_a_break_before_the_last_byte_was_written_is_a_failed_connection():
+def test_a_break_before_the_last_byte_was_written_is_a_failed_connection(play):
     async def test():
         async def serve(reader, writer):  # takes the head and resets: the value does not fit the buffers
             await reader.readexactly(10)
@@ -104,7 +108,7 @@
     play(test)
 
 
-def test_time_runs_out_as_a_timeout_once_asked_and_a_cancel_closes_the_connection():
+def test_time_runs_out_as_a_timeout_once_asked_and_a_cancel_closes_the_connection(play):
     async def test():
         async with Peer(lambda _: b"") as peer:
             bench = Bench(peer.port)
@@ -125,7 +129,7 @@
     play(test)
 
 
-def test_idle_connections_are_used_again_but_not_near_the_servers_limit_nor_at_their_end():
+def test_idle_connections_are_used_again_but_not_near_the_servers_limit_nor_at_their_end(play):
     async def test():
         settings = api.Settings(limits=api.Limits(conn_idle_ns=5_000_000_000))
         async with Peer(lambda _: VALUE) as peer:
@@ -146,7 +150,7 @@
 
 
 @pytest.mark.parametrize("late", [False, True])
-def test_bytes_that_nobody_asked_for_end_the_connection_and_answer_no_other_request(late):
+def test_bytes_that_nobody_asked_for_end_the_connection_and_answer_no_other_request(play, late):
     async def test():
         answers = [VALUE, VALUE] if late else [VALUE + VALUE, VALUE]
         async with Peer(lambda _: answers.pop(0)) as peer:
@@ -162,7 +166,7 @@
     play(test)
 
 
-def test_one_attempt_a_connection_and_no_more_connections_than_there_is_room():
+def test_one_attempt_a_connection_and_no_more_connections_than_there_is_room(play):
     async def test():
         async with Peer(lambda _: b"") as peer:
             bench = Bench(peer.port, room=2)
@@ -177,7 +181,7 @@
     play(test)
 
 
-def test_connections_dropped_unseen_are_learnt_of_by_their_age():
+def test_connections_dropped_unseen_are_learnt_of_by_their_age(play):
     """Guards against writing to what is dead: servers dropped idle connections long before their time."""
 
     async def test():
@@ -197,7 +201,7 @@
     play(test)
 
 
-def test_nothing_is_kept_of_a_server_that_is_never_used_again():
+def test_nothing_is_kept_of_a_server_that_is_never_used_again(play):
     async def test():
         async with Peer(lambda _: VALUE) as peer:
             bench = Bench(peer.port)
@@ -211,7 +215,7 @@
     play(test)
 
 
-def test_the_origin_is_asked_over_http_and_its_connection_is_used_again():
+def test_the_origin_is_asked_over_http_and_its_connection_is_used_again(play):
     async def test():
         text = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         async with Peer(lambda _: text) as peer:
@@ -235,7 +239,7 @@
     return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
 
 
-def test_the_watch_goes_on_from_each_answer_and_a_failure_is_told():
+def test_the_watch_goes_on_from_each_answer_and_a_failure_is_told(play):
     async def test():
         clock, told = HandClock(), []
         answers = [
@@ -276,7 +280,7 @@
     play(test)
 
 
-def test_a_moved_watch_ends_the_old_call_and_begins_with_the_whole_list():
+def test_a_moved_watch_ends_the_old_call_and_begins_with_the_whole_list(play):
     async def test():
         clock, told = HandClock(), []
         whole = response(200, orjson.dumps({"revision": 3, "complete": True, "members": []}))
@@ -341,7 +345,7 @@
         return reader, writer
 
 
-def test_answers_go_out_in_the_order_of_their_commands():
+def test_answers_go_out_in_the_order_of_their_commands(play):
     async def test():
         async with Side() as s:
             reader, writer = await s.client(READ % b"r1", READ % b"r2", b"what\r\n", b"mn\r\n", READ % b"r1")
@@ -359,7 +363,7 @@
     play(test)
 
 
-def test_the_end_of_a_client_is_told_and_a_long_pipeline_waits():
+def test_the_end_of_a_client_is_told_and_a_long_pipeline_waits(play):
     async def test():
         async with Side() as s:
             _, writer = await s.client(*(READ % b"r%d" % i for i in range(PIPELINED + 5)))
@@ -376,7 +380,7 @@
     play(test)
 
 
-def test_with_no_room_an_idle_client_makes_place_and_a_busy_one_does_not():
+def test_with_no_room_an_idle_client_makes_place_and_a_busy_one_does_not(play):
     async def test():
         async with Side() as s:
             idle, _ = await s.client()
@@ -392,7 +396,7 @@
     play(test)
 
 
-def test_leaving_serves_what_arrives_closes_between_requests_and_answers_all():
+def test_leaving_serves_what_arrives_closes_between_requests_and_answers_all(play):
     async def test():
         async with Side() as s:
             idle, _ = await s.client()
@@ -454,7 +458,7 @@
         (a_huge_value, b"CLIENT_ERROR value too large\r\n"),
     ],
 )
-def test_a_bad_client_is_told_so_or_closed_soon_and_holds_nothing(client, said):
+def test_a_bad_client_is_told_so_or_closed_soon_and_holds_nothing(play, client, said):
     async def test():
         async with Side() as s:
             assert await client(s) == said
@@ -466,7 +470,7 @@
     play(test)
 
 
-def test_a_connection_is_closed_once_it_is_of_no_use_but_never_with_a_request_open():
+def test_a_connection_is_closed_once_it_is_of_no_use_but_never_with_a_request_open(play):
     async def test():
         async with Side() as s:
             reader, _ = await s.client(READ.replace(b"480", b"1999") % b"r1")
@@ -482,7 +486,7 @@
     play(test)
 
 
-def test_a_connection_that_came_just_now_does_not_make_place_for_the_next():
+def test_a_connection_that_came_just_now_does_not_make_place_for_the_next(play):
     """Guards clients against closing one another: the place was full of idle ones that had asked."""
 
     async def test():
@@ -502,7 +506,7 @@
     play(test)
 
 
-def test_half_a_command_makes_place_for_a_client_that_asks():
+def test_half_a_command_makes_place_for_a_client_that_asks(play):
     async def test():
         async with Side() as s:
             half, _ = await s.client(b"mg key7")
@@ -515,7 +519,7 @@
     play(test)
 
 
-def test_a_client_that_does_not_read_is_read_no_further_and_cut_off():
+def test_a_client_that_does_not_read_is_read_no_further_and_cut_off(play):
     """Guards the node's memory: each client could otherwise have it hold all the answers it asks for."""
 
     async def test():
