--- /dev/null
+++ b/flintridge/lab/faults/check.py
@@ -0,0 +1,204 @@
+"""Contradictions in a scenario that its types cannot show: names and faults that mean nothing."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
+
+import msgspec
+
+from flintridge.lab.faults.choose import Candidate, fitting
+from flintridge.lab.scenario import model as m
+from flintridge.lab.world.fleet_plan import server_zones
+from flintridge.lab.world.settings import ORIGIN_KIND
+
+FOR_GOOD = (m.Crash, m.NodeKill)  # where `for_s = 0` means that nothing starts again
+AT_ONCE = (m.Drain, m.Replace, m.NodeRestart)  # where it means that there is no wait
+
+
+def check(scenario: m.Scenario) -> list[str]:
+    """All contradictions, each as `path: what is wrong; what is allowed`; empty where there is none."""
+    found: list[str] = []
+    found.extend(_names(scenario))
+    found.extend(_fleet(scenario))
+    found.extend(_classes(scenario))
+    found.extend(_spans(scenario, ""))
+    for i, fault in enumerate(scenario.faults):
+        found.extend(f"faults[{i}].{text}" for text in _fault(scenario, fault))
+    return found
+
+
+def _listed(names: Sequence[str]) -> str:
+    return ", ".join(names) if len(names) <= 12 else f"{', '.join(names[:3])} ... {names[-1]}"
+
+
+def _unknown(path: str, name: str | None, known: Sequence[str], what: str) -> Iterator[str]:
+    if name and name not in known:
+        yield f"{path}: there is no {what} {name!r}; allowed are {_listed(known)}"
+
+
+def _twice(path: str, names: Sequence[str]) -> Iterator[str]:
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield f"{path}: {name!r} is there {count} times; each name may be there once"
+
+
+# The world
+
+
+def _names(scenario: m.Scenario) -> Iterator[str]:
+    yield from _twice("zones", scenario.zones)
+    yield from _twice("kinds", [kind.name for kind in scenario.kinds])
+    yield from _twice("classes", [cls.name for cls in scenario.classes])
+    yield from _twice("tenants", [tenant.name for tenant in scenario.tenants])
+    for i, kind in enumerate(scenario.kinds):
+        if kind.name == ORIGIN_KIND:
+            yield f"kinds[{i}].name: {ORIGIN_KIND!r} is the origin's own kind; any other name is allowed"
+    for i, zone in enumerate(scenario.nodes.zones):
+        yield from _unknown(f"nodes.zones[{i}]", zone, scenario.zones, "zone")
+    yield from _unknown("origin.zone", scenario.origin.zone, scenario.zones, "zone")
+    yield from _unknown("discovery.zone", scenario.discovery.zone, scenario.zones, "zone")
+
+
+def _fleet(scenario: m.Scenario) -> Iterator[str]:
+    kinds = [kind.name for kind in scenario.kinds]
+    for i, group in enumerate(scenario.servers):
+        yield from _unknown(f"servers[{i}].kind", group.kind, kinds, "kind")
+        yield from _unknown(f"servers[{i}].zone", group.zone, scenario.zones, "zone")
+    if not any(group.count for group in scenario.servers):
+        yield "servers: they are none; at least one group needs a count above 0"
+    rules = scenario.rules
+    for i, kind in enumerate(scenario.kinds):
+        if kind.cold_from < rules.cold_share:
+            yield (
+                f"kinds[{i}].cold_from: {kind.cold_from:g} is below rules.cold_share, which is promised;"
+                f" allowed is {rules.cold_share:g} to 1"
+            )
+        if kind.cold_s > rules.cold_s:
+            yield (
+                f"kinds[{i}].cold_s: {kind.cold_s:g} is more than rules.cold_s, which is promised;"
+                f" allowed is 0 to {rules.cold_s:g}"
+            )
+
+
+def _classes(scenario: m.Scenario) -> Iterator[str]:
+    repeats_ms = scenario.origin.repeats_s * 1000
+    for i, cls in enumerate(scenario.classes):
+        if cls.aim_ms > cls.deadline_ms:
+            yield (
+                f"classes[{i}].aim_ms: {cls.aim_ms:g} is beyond the deadline;"
+                f" allowed is up to deadline_ms ({cls.deadline_ms:g})"
+            )
+        if cls.effect == "keyed" and 0 < repeats_ms < cls.window_ms:
+            yield (
+                f"classes[{i}].window_ms: {cls.window_ms:g} is longer than the origin knows a write's key;"
+                f" allowed is up to origin.repeats_s ({repeats_ms:g} ms)"
+            )
+
+
+def _spans(part: Any, path: str) -> Iterator[str]:
+    """Spans whose low end is above the high one, wherever they are."""
+    for name in part.__struct_fields__:
+        value, where = getattr(part, name), f"{path}.{name}".lstrip(".")
+        if isinstance(value, msgspec.Struct):
+            yield from _spans(value, where)
+        elif isinstance(value, tuple):
+            for i, one in enumerate(value):
+                if isinstance(one, msgspec.Struct):
+                    yield from _spans(one, f"{where}[{i}]")
+            if name != "nodes" and _is_span(value) and value[0] > value[1]:
+                yield f"{where}: from {value[0]:g} to {value[1]:g}; the first must not be above the second"
+
+
+def _is_span(value: tuple[Any, ...]) -> bool:
+    return len(value) == 2 and all(isinstance(end, (int, float)) for end in value)
+
+
+# Faults
+
+
+def _fault(scenario: m.Scenario, fault: m.AnyFault) -> Iterator[str]:
+    if fault.at_s >= scenario.length_s:
+        yield (
+            f"at_s: {fault.at_s:g} is beyond the day's end;"
+            f" allowed is 0 to less than length_s ({scenario.length_s:g})"
+        )
+    if isinstance(fault, m.Lasting) and not fault.for_s and not isinstance(fault, FOR_GOOD + AT_ONCE):
+        yield "for_s: 0 is no time at all; it must be above 0"
+    part = getattr(fault, "part", None)
+    if part == 0:
+        yield "part: a share of 0 does nothing; allowed is above 0 to 1"
+    if isinstance(fault, m.Chosen):
+        yield from _chosen(scenario, fault)
+    for kind, rule in _RULES.items():
+        if isinstance(fault, kind):
+            yield from rule(scenario, fault)
+
+
+def candidates(scenario: m.Scenario) -> list[Candidate]:
+    """The cache servers by their labels, as before any seed."""
+    zones = server_zones(scenario)
+    return [Candidate(f"s{i}", f"s{i}", zone, group.kind) for i, (group, zone) in enumerate(zones)]
+
+
+def _chosen(scenario: m.Scenario, fault: m.Chosen) -> Iterator[str]:
+    kinds = [kind.name for kind in scenario.kinds]
+    yield from _unknown("zone", fault.zone, scenario.zones, "zone")
+    yield from _unknown("kind", fault.kind, kinds, "kind")
+    there = candidates(scenario)
+    labels = [one.label for one in there]
+    for i, label in enumerate(fault.ids):
+        yield from _unknown(f"ids[{i}]", label, labels, "server")
+    ways = [name for name in ("ids", "count", "share") if getattr(fault, name)]
+    if len(ways) > 1:
+        yield f"{ways[1]}: {ways[0]} says already which servers; only one of ids, count and share is allowed"
+    if not ways and not fault.zone and not fault.kind:
+        yield "share: no servers are named; ids, a count above 0, a share above 0, a zone or a kind must be"
+    among = fitting(fault, there)
+    known = (not fault.zone or fault.zone in scenario.zones) and (not fault.kind or fault.kind in kinds)
+    if known and not among:
+        yield f"{'zone' if fault.zone else 'kind'}: no cache server is of this zone and kind"
+    elif known and fault.count > len(among):
+        yield f"count: {fault.count} is more than there are; allowed is up to {len(among)}"
+    inside = dict.fromkeys(one.label for one in among)
+    outside = [label for label in fault.ids if label in labels and label not in inside]
+    if known and among and outside:
+        yield f"ids: {_listed(outside)} are not of this zone and kind; leave these out, or the ids"
+
+
+def _numbers(scenario: m.Scenario, fault: Any) -> Iterator[str]:
+    count = scenario.nodes.count
+    for i, number in enumerate(fault.nodes):
+        if number >= count:
+            yield f"nodes[{i}]: there is no node {number}; allowed is 0 to {count - 1}"
+    if not fault.nodes and fault.count > count:
+        yield f"count: {fault.count} is more than there are; allowed is up to {count}"
+    if not fault.nodes and not fault.count and not isinstance(fault, m.Reload):
+        yield f"count: 0 nodes; allowed is 1 to {count}"
+
+
+def _zone(scenario: m.Scenario, fault: Any) -> Iterator[str]:
+    yield from _unknown("zone", fault.zone, scenario.zones, "zone")
+
+
+def _two_zones(scenario: m.Scenario, fault: Any) -> Iterator[str]:
+    yield from _zone(scenario, fault)
+    yield from _unknown("other", fault.other, scenario.zones, "zone")
+    if isinstance(fault, m.Cut) and fault.zone == fault.other:
+        yield f"other: {fault.other!r} is the same zone; a cut lies between two"
+
+
+def _burst(_: m.Scenario, fault: Any) -> Iterator[str]:
+    if fault.factor == 1:
+        yield "factor: 1 changes nothing; any other is allowed"
+
+
+_RULES: dict[type[m.Fault], Callable[[m.Scenario, Any], Iterator[str]]] = {
+    m.NodeKill: _numbers,
+    m.NodeRestart: _numbers,
+    m.NodePause: _numbers,
+    m.Reload: _numbers,
+    m.ZoneLoss: _zone,
+    m.Cut: _two_zones,
+    m.SlowLink: _two_zones,
+    m.Burst: _burst,
+}
--- /dev/null
+++ b/flintridge/lab/world/origin_host.py
@@ -0,0 +1,194 @@
+"""The origin on a fabric: its listeners, its troubles, and the model's time."""
+
+import asyncio
+from functools import partial
+
+from flintridge.lab.fabric import Fabric, Listener
+from flintridge.lab.records import Log, Ran, ServerSaid
+from flintridge.lab.scenario.model import Scenario
+from flintridge.lab.seeds import Seeds
+from flintridge.lab.truth import Truth
+from flintridge.lab.world.objects import Counter, Objects
+from flintridge.lab.world.origin import OriginModel
+from flintridge.lab.world.origin_conn import OriginConnection, OriginRequest
+
+
+class OriginHost:
+    """The one origin: it speaks HTTP/1.1 at the address of the party `id`.
+
+    Turn `model.slow` and `model.down` (or `down` here) at any time; the latter needs a running loop.
+    """
+
+    def __init__(
+        self,
+        fabric: Fabric,
+        log: Log,
+        truth: Truth,
+        objects: Objects,
+        scenario: Scenario,
+        seeds: Seeds,
+        nodes: list[str],
+        id: str = "origin",
+    ) -> None:
+        self.id = id
+        self.fabric = fabric
+        self.clock = fabric.clock
+        self.log = log
+        self.truth = truth
+        self.objects = objects
+        self.spec = scenario.origin
+        self.probes = scenario.limits.probes
+        self.idle_ms = min(kind.idle_s for kind in scenario.kinds) * 1000
+        self.model = OriginModel(scenario.origin, seeds.of("origin"), self._turned)
+        self.up = False  # it listens, or is about to
+        self._wanted = False  # started and not stopped
+        self._fallen = False
+        self.connections: dict[OriginConnection, None] = {}  # a set that keeps its order
+        self._windows = {c.name: scenario.origin.repeats_s * 1000 or c.window_ms for c in scenario.classes}
+        self._effects = Counter()
+        self._nodes = nodes
+        self._down = ""
+        self._listeners: list[Listener] = []
+        self._opening: asyncio.Task[None] | None = None
+        self._turns = 0  # of opening and closing: what was begun in an earlier one is void
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+
+    def window_ms(self, cls: str) -> float:
+        """Within which a repeat of a keyed write is dropped."""
+        return self._windows.get(cls, 0.0)
+
+    # Its life
+
+    async def start(self, cold: bool = False) -> None:
+        """Listen. It is never cold. Raises OSError."""
+        self._say("started")
+        self.up = self._wanted = True
+        await self._open()
+
+    def stop(self, how: str = "crash") -> None:
+        """Connections are reset, new ones refused, what had not ended is lost; keys of writes that have run
+        are still known afterwards."""
+        self._wanted = False
+        if self.up:
+            self._say("stopped")
+            self._close()
+
+    @property
+    def down(self) -> str:
+        return self.model.down
+
+    @down.setter
+    def down(self, how: str) -> None:
+        self.model.down = how
+
+    def _turned(self) -> None:
+        """The knob `down` was turned."""
+        was, self._down = self._down, self.model.down
+        if was == self._down:
+            return
+        if self._down == "refuses" and self.up:
+            self._say("stopped")
+            self._close()
+        elif was == "refuses":
+            self._reopen()
+        if was == "silent":  # whoever still waits on those has given up by now
+            self._reset_connections()
+
+    def _reopen(self) -> None:
+        """Listen again, once nothing speaks against it any more."""
+        if self._wanted and not self.up and not self._fallen and self._down != "refuses":
+            self._say("back")
+            self.up = True
+            self._opening = asyncio.get_running_loop().create_task(self._open())
+
+    async def _open(self) -> None:
+        turn = self._turns
+        for node in self._nodes:
+            listener = await self.fabric.listen(self.id, node, partial(OriginConnection, self, node))
+            if turn != self._turns:  # closed while it was opening
+                listener.close()
+                return
+            self._listeners.append(listener)
+
+    def _close(self) -> None:
+        self.up = False
+        self._turns += 1
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.model.collapse()
+        self._reset_connections()
+
+    def _reset_connections(self) -> None:
+        now = self.clock.now()
+        for connection in list(self.connections):
+            connection.kill(now)
+
+    def _say(self, state: str) -> None:
+        capacity = self.model.capacity if state in ("started", "back") else 0.0
+        said = ServerSaid(
+            t=self.clock.now(), server=self.id, state=state, zone=self.model.zone, capacity=capacity
+        )
+        self.log.add(said)
+
+    def fall(self) -> None:
+        """Too much was asked of it: it stops until `model.fallen_until`."""
+        if self.up:
+            self._fallen = True
+            self._say("fallen")
+            self._close()
+            self.clock.call_at(self.model.fallen_until, self._stand_up)
+
+    def _stand_up(self) -> None:
+        self._fallen = False
+        self._reopen()
+
+    # Time
+
+    def settle(self, now: float) -> None:
+        """Answer what has ended, and be called again when more does."""
+        model = self.model
+        for job in model.advance(now):
+            assert isinstance(job, OriginRequest)
+            self.finish(now, job)
+        due = model.due()
+        if due is not None and (self._timer is None or due < self._timer_at):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_at = due
+            self._timer = self.clock.call_at(due, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        # Rounding may bring the timer a hair too early: it would then be set for the same instant for ever.
+        self.settle(max(self.clock.now(), self._timer_at))
+
+    def finish(self, now: float, job: OriginRequest) -> None:
+        """A job has its outcome: let it take effect, and answer."""
+        uid = job.uid
+        body = b""
+        if job.outcome == "receipt":
+            body = self._receipt(job)
+        if job.ran:
+            repeat = job.write and job.leader is not None
+            said = Ran(t=now, server=self.id, number=job.number, uid=uid, idem=job.idem, repeat=repeat)
+            self.log.add(said)
+        if job.connection is None:
+            return
+        if job.outcome == "value":
+            body = self.objects.body(job.key, self.objects.version(job.key), self.id, uid)
+            if self.model.down != "silent":
+                self.objects.origin_answered(uid, job.key, now)
+        job.connection.answer(now, job, body)
+
+    def _receipt(self, job: OriginRequest) -> bytes:
+        """Of a write that takes effect now, or of the one that it repeats."""
+        if isinstance(job.leader, OriginRequest):
+            return job.leader.receipt
+        self.objects.changed(job.key)
+        job.receipt = self.objects.receipt(job.uid, self._effects.next())
+        return job.receipt
--- /dev/null
+++ b/flintridge/lab/world/settings.py
@@ -0,0 +1,128 @@
+"""The settings that a node is given, in the platform's form, from the scenario."""
+
+from typing import Any
+
+from flintridge.lab.scenario.model import Goal, Limits, Prices, RequestClass, Rules, Scenario
+
+ORIGIN_KIND = "origin"
+OVER_SHARE_WORTH = 0.05  # of the worth, for what a tenant sends beyond its quota
+PIPELINE = 128  # commands that a cache server begins on one connection
+_EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+
+
+def node_settings(scenario: Scenario, fleet_size: int, index: int, zone: str) -> dict[str, Any]:
+    """The `settings` object of node `index` of so many, in this zone; durations in nanoseconds.
+
+    Raises ValueError where the zone is none of the scenario's.
+    """
+    kinds = [kind.name for kind in scenario.kinds]
+    return {
+        "clientHabits": {"marksRetry": scenario.clients.marks_retry},
+        "discovery": "on_request",
+        "family": "cache",
+        "familyInfo": _family(scenario, len(kinds)),
+        "fleetSize": fleet_size,
+        "goal": _goal(scenario.goal),
+        "kinds": [*kinds, ORIGIN_KIND],
+        "overShareWorth": OVER_SHARE_WORTH,
+        "permissions": _permissions(scenario),
+        "prices": _prices(scenario.prices),
+        "report": _report(scenario.limits),
+        "rules": _rules(scenario.rules),
+        "selfIndex": index,
+        "services": [_service(cls) for cls in scenario.classes],
+        "tenants": _tenants(scenario),
+        "tickNs": _ns(5.0),
+        "tier": 0,
+        "tiers": ["caches"],
+        "weights": "nominal",
+        "worthBy": "request",
+        "zone": scenario.zones.index(zone),
+        "zones": list(scenario.zones),
+    }
+
+
+def _ns(ms: float) -> int:
+    return round(ms * 1_000_000)
+
+
+def _family(scenario: Scenario, origin_kind: int) -> dict[str, Any]:
+    return {
+        "mode": "aside",
+        "originKind": origin_kind,
+        "originFallMultiple": scenario.origin.fall_multiple,
+        "originFallNs": _ns(scenario.origin.fall_ms),
+        "reportX0": "the share of hits of late",
+    }
+
+
+def _service(cls: RequestClass) -> dict[str, Any]:
+    return {
+        "name": cls.name,
+        "effect": _EFFECTS[cls.effect],
+        "group": cls.group,
+        "windowNs": _ns(cls.window_ms),
+        "sloNs": _ns(cls.aim_ms),
+        "hardLimitNs": _ns(cls.deadline_ms),
+        "lateShare": cls.late_share,
+        "points": cls.worth,
+        "stream": False,
+    }
+
+
+def _tenants(scenario: Scenario) -> list[dict[str, Any]]:
+    whole = sum(tenant.share for tenant in scenario.tenants)
+    return [{"name": t.name, "quotaPerS": t.quota_per_s, "share": t.share / whole} for t in scenario.tenants]
+
+
+def _permissions(scenario: Scenario) -> dict[str, Any]:
+    limits = scenario.limits
+    return {
+        "attemptsCap": limits.max_attempts,
+        "parallelTries": limits.second_copies,
+        "cancel": limits.cancel,
+        "probes": limits.probes,
+        "mayTell": limits.peers,
+        "retryAfter": limits.retry_after,
+        "maxRetryAfterNs": _ns(limits.max_retry_after_ms),
+        "maxOpen": limits.max_open,
+        "connectTimeoutNs": _ns(limits.connect_timeout_ms),
+        "connIdleNs": _ns(1000 * min(kind.idle_s for kind in scenario.kinds)),
+        "streamsPerConn": PIPELINE,
+    }
+
+
+def _report(limits: Limits) -> dict[str, Any]:
+    return {"how": "probe" if limits.probes else "none", "names": ["qps", "util", "x0"]}
+
+
+def _rules(rules: Rules) -> dict[str, Any]:
+    return {
+        "answerSlackNs": _ns(rules.answer_slack_ms),
+        "askWithinNs": _ns(1000 * rules.ask_within_s),
+        "drainGraceNs": _ns(rules.drain_grace_ms),
+        "fallMultiple": rules.fall_multiple,
+        "fallNs": _ns(rules.fall_ms),
+        "coldShare": rules.cold_share,
+        "coldNs": _ns(1000 * rules.cold_s),
+    }
+
+
+def _prices(prices: Prices) -> dict[str, float]:
+    named = {
+        "crossZone": prices.cross_zone,
+        "waste": prices.waste,
+        "lateFail": prices.late_fail,
+        "probe": prices.probe,
+    }
+    free = ("connection", "discovery", "handshake", "moves", "origin", "peer")
+    return named | dict.fromkeys(free, 0.0)
+
+
+def _goal(goal: Goal) -> dict[str, float]:
+    return {
+        "whole": goal.whole,
+        "worstWindow": goal.worst_window,
+        "worstClass": goal.worst_class,
+        "worstTenant": goal.worst_tenant,
+    }
--- /dev/null
+++ b/flintridge/lab/world/sockets.py
@@ -0,0 +1,19 @@
+"""What asyncio's transports lack."""
+
+import asyncio
+import socket
+import struct
+
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection with a RST, as the kernel does for a process that died: `abort` alone sends a FIN."""
+    own = getattr(transport, "reset", None)
+    if own is not None:
+        own()
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    transport.abort()
