Take no request on a connection that was closed while it lay unread, nor close between commands

Seen: on loopback in the lab, one request `lost`: n took it, sent it on, and its client, which had sent it again, was told `id in use`. Checked: SenderConnection.expire closed an unused connection while the request already lay in the stream's buffer; serve() then read and took it. Read on: at SIGTERM a connection could be closed upon the answer of one command while others of the same read were still to be taken; these were never answered.

Change: what is read after the close is not taken (the client sends it again); commands that were read count as owed until all are taken; a connection that is closing is not closed and counted again.

--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -69,17 +69,18 @@
         self.asked = False  # a request ever came whole
         self._bad = 0
         self._ending = False
+        self._taking = False  # commands that were read are being taken: there may be more of them
         writer.transport.set_write_buffer_limits(high=UNREAD)
 
     @property
     def idle(self) -> bool:
         """Between requests: nothing is owed and nothing more has arrived, as far as was read."""
-        return not self._slots and self._parser.idle
+        return not self.owed and self._parser.idle
 
     @property
     def owed(self) -> bool:
-        """Whether a command awaits its answer."""
-        return bool(self._slots)
+        """Whether a command awaits its answer, or its turn to be taken."""
+        return bool(self._slots) or self._taking
 
     def expire(self, now: float) -> None:
         """Close it if it has been of no use for too long: nothing asked, or half a command and no more.
@@ -87,7 +88,7 @@
         Guards the descriptors against clients that say nothing, by the hundred, or keep what they never
         use again. A client whose request crosses this sends it once more, on a new connection.
         """
-        if self._slots or self._ending:
+        if self.owed or self._ending or self._writer.is_closing():
             return
         if self._parser.idle:
             if now - self.used_at >= UNUSED:
@@ -105,17 +106,24 @@
     async def serve(self) -> None:
         try:
             while data := await self._reader.read(65536):
+                if self._writer.is_closing():
+                    # Guards a request that crossed the close of an unused connection: its client sends it
+                    # again, and taken here as well it would run twice, and the second be told `id in use`.
+                    break
                 self.used_at = self._side.clock.now()
                 if self._parser.idle:
                     self.begun_at = self.used_at
                 commands = self._parser.feed(data)
                 if commands:
                     self.begun_at = self.used_at
+                self._taking = True
                 for command in commands:
                     if not self._take(command):
                         await self._finish()
                         return
                     await self._room()
+                self._taking = False
+                self._side.between_requests(self)
         except OutOfTime:
             self._side.counters.add("slow_readers")
             self._writer.transport.abort()
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -396,6 +396,46 @@
     play(test)
 
 
+def test_a_request_that_crossed_the_close_of_its_connection_is_not_taken(play):
+    """Guards against two runs of it: its client sends it again on a new connection."""
+
+    async def test():
+        async with Side() as s:
+            _, writer = await s.client()
+            await until(lambda: s.side._connections)
+            (connection,) = s.side._connections
+            feed = connection._reader.feed_data
+
+            def crossing(data: bytes) -> None:  # it lies there unread while the sweep closes the connection
+                feed(data)
+                s.clock.go(UNUSED + SWEEP)
+
+            connection._reader.feed_data = crossing
+            writer.write(READ % b"r1")
+            await until(lambda: not s.side._connections)
+            assert s.counters["connections_unused"] == 1 and s.counters["requests"] == 0
+            again, _ = await s.client(READ % b"r1")
+            await until(lambda: s.counters["requests"] == 1)
+            s.core._overdue("r1")
+            assert await again.readline() == b"SERVER_ERROR failed\r\n"
+
+    play(test)
+
+
+def test_leaving_closes_no_connection_while_commands_that_came_together_are_taken(play):
+    async def test():
+        async with Side() as s:
+            s.side._leaving = True
+            reader, _ = await s.client(b"mn\r\n", READ % b"r1", b"mn\r\n", READ % b"r2")
+            await until(lambda: s.counters["requests"] == 2)
+            for uid in ("r1", "r2"):
+                s.core._overdue(uid)
+            starting, failed = b"SERVER_ERROR starting\r\n", b"SERVER_ERROR failed\r\n"
+            assert await reader.read() == (starting + failed) * 2
+
+    play(test)
+
+
 def test_leaving_serves_what_arrives_closes_between_requests_and_answers_all(play):
     async def test():
         async with Side() as s:
