--- /dev/null
+++ b/flintridge/lab/defects/planted.py
@@ -0,0 +1,350 @@
+"""Mistakes to plant in a node that was just put together, so that the judge can show that it sees them.
+
+Each wraps or replaces something of this one Node's objects; the node's own code has no part in it.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from flintridge import api
+from flintridge.decide import Balancer, Gate, Held, Server
+from flintridge.lab.defects.wrapping import Alter, every, put, wrap_replies
+from flintridge.net import memcache
+from flintridge.net.clock import sleep, to_ns
+from flintridge.net.delivery import Link
+from flintridge.net.envelope import DeliveryAttempt, Envelope, Reply, Served
+from flintridge.net.sender import Slot
+from flintridge.node import Node
+
+OFTEN = 10  # each tenth request is hit
+CLIENT_WAIT_MS = 1000.0  # of a client that names no time
+
+
+def balancer_of(node: Node) -> Balancer:
+    """The node's decision module. Raises TypeError where a trial put another one in."""
+    module = node.core._module
+    if not isinstance(module, Balancer):
+        raise TypeError(f"{type(module).__name__} is not the module that these defects are made for")
+    return module
+
+
+def _wait(envelope: Envelope) -> float:
+    return CLIENT_WAIT_MS if envelope.wait_ms is None else envelope.wait_ms
+
+
+# Answers to clients
+
+
+def answer_after_deadline(node: Node) -> None:
+    """Each tenth final answer is written 300 ms after its client's time is over."""
+    hit = every(OFTEN)
+
+    def alter(envelope: Envelope, reply: Reply) -> Reply:
+        due = node.clock.now() + _wait(envelope) + 300
+        return _Delayed(node, reply, lambda: due) if hit() else reply
+
+    wrap_replies(node, alter)
+
+
+def refusal_held_back(node: Node) -> None:
+    """Refusals and failures are kept until 15 ms before the client's time is over."""
+
+    def alter(envelope: Envelope, reply: Reply) -> Reply:
+        due = node.clock.now() + _wait(envelope) - 15
+        return _Delayed(node, reply, lambda: due, served=False)
+
+    wrap_replies(node, alter)
+
+
+class _Delayed(Alter):
+    """Answers not before an instant."""
+
+    def __init__(self, node: Node, reply: Reply, due: Callable[[], float], served: bool = True) -> None:
+        super().__init__(reply)
+        self._node = node
+        self._due = due
+        self._delays_served = served
+
+    def _at(self, call: Callable[..., None], *args: Any) -> None:
+        if self._due() <= self._node.clock.now():
+            call(*args)
+        else:
+            self._node.clock.call_at(self._due(), call, *args)
+
+    def served(self, served: Served) -> None:
+        if self._delays_served:
+            self._at(self.reply.served, served)
+        else:
+            self.reply.served(served)
+
+    def defer(self, retry_after_ms: float) -> None:
+        self._at(self.reply.defer, retry_after_ms)
+
+    def failed(self) -> None:
+        self._at(self.reply.failed)
+
+
+def client_never_answered(node: Node) -> None:
+    """Each tenth request's final answer is forgotten."""
+    hit = every(OFTEN)
+
+    class Silent(Alter):
+        def served(self, served: Served) -> None: ...
+
+        def defer(self, retry_after_ms: float) -> None: ...
+
+        def failed(self) -> None: ...
+
+    wrap_replies(node, lambda _, reply: Silent(reply) if hit() else reply)
+
+
+def two_answers(node: Node) -> None:
+    """Each tenth served answer is written twice."""
+    hit = every(OFTEN)
+
+    class Twice(Alter):
+        def served(self, served: Served) -> None:
+            self.reply.served(served)
+            slot = self.reply
+            if isinstance(slot, Slot) and not slot.connection._writer.is_closing():
+                slot.connection._writer.writelines(memcache.served_parts(slot.id, served))
+
+    wrap_replies(node, lambda _, reply: Twice(reply) if hit() else reply)
+
+
+def invented_value(node: Node) -> None:
+    """Each tenth value has its last byte changed."""
+    hit = every(OFTEN)
+
+    class Changed(Alter):
+        def served(self, served: Served) -> None:
+            last = b"#" if not served.body.endswith(b"#") else b"%"
+            self.reply.served(Served(served.body[:-1] + last, served.receipt))
+
+    wrap_replies(node, lambda _, reply: Changed(reply) if hit() else reply)
+
+
+def value_mixed_up(node: Node) -> None:
+    """Each tenth read is given the value of the read that was served before it."""
+    hit = every(OFTEN)
+    before: list[Served] = []
+
+    class Mixed(Alter):
+        def served(self, served: Served) -> None:
+            other = before[0] if before and not served.receipt and hit() else served
+            if not served.receipt:
+                before[:] = [served]
+            self.reply.served(other)
+
+    wrap_replies(node, lambda _, reply: Mixed(reply))
+
+
+def dropped_at_sigterm(node: Node) -> None:
+    """SIGTERM closes the listener and every connection at once, whatever is open on them."""
+
+    async def leave() -> None:
+        node.side.close()
+        await sleep(node.clock, 50.0)
+
+    put(node.side, "leave", leave)
+
+
+def slow_to_leave(node: Node) -> None:
+    """After SIGTERM all is answered, but the process stays on for as long as one may like."""
+    leave = node.side.leave
+
+    async def stay() -> None:
+        await leave()
+        longest = max(cls.deadline_ns for cls in node.core._settings.classes) / 1e6
+        await sleep(node.clock, longest + 2000)
+
+    put(node.side, "leave", stay)
+
+
+def breaks_on_leaving(node: Node) -> None:
+    """After SIGTERM all is answered, but then the program ends by an error."""
+
+    async def broken() -> None:
+        await node.side.leave()
+        await node.close()
+        raise RuntimeError("planted")
+
+    put(node, "leave", broken)
+
+
+# Attempts
+
+
+def keyed_write_twice_past_window(node: Node) -> None:
+    """A keyed write without an answer is sent again, but only once its window is over."""
+    balancer = balancer_of(node)
+    patience, may_send = balancer.patience, balancer.may_send
+
+    def past_window(request: Held, gate: Gate) -> int:
+        keyed = request.cls.effect is api.Effect.KEYED and not request.attempts[1:]
+        return request.cls.window_ns + to_ns(100.0) if keyed else patience(request, gate)
+
+    def regardless(request: Held, server: str) -> bool:
+        return _regardless(balancer, request, may_send, server, api.Effect.KEYED)
+
+    put(balancer, "patience", past_window)
+    put(balancer, "may_send", regardless)
+
+
+def retry_of_what_may_have_run(node: Node) -> None:
+    """A request of an unsafe class that has no answer after 100 ms is sent once more."""
+    balancer = balancer_of(node)
+    patience, may_send = balancer.patience, balancer.may_send
+
+    def short(request: Held, gate: Gate) -> int:
+        unsafe = request.cls.effect is api.Effect.UNSAFE and not request.attempts[1:]
+        return to_ns(100.0) if unsafe else patience(request, gate)
+
+    def regardless(request: Held, server: str) -> bool:
+        return _regardless(balancer, request, may_send, server, api.Effect.UNSAFE)
+
+    put(balancer, "patience", short)
+    put(balancer, "may_send", regardless)
+
+
+def _regardless(
+    balancer: Balancer,
+    request: Held,
+    may_send: Callable[[Held, str], bool],
+    server: str,
+    effect: api.Effect,
+) -> bool:
+    """`may_send` without what it says of this effect: time and number still bound the attempts."""
+    if request.cls.effect is not effect:
+        return may_send(request, server)
+    in_time = balancer.now < request.event.deadline
+    return in_time and len(request.attempts) < balancer.settings.limits.max_attempts
+
+
+def refuses_what_may_have_run(node: Node) -> None:
+    """Where a failure is due, as a repeat may do harm, the client is told to come again."""
+    core = node.core
+    carry_out = core._carry_out
+
+    def mild(action: api.Action) -> None:
+        carry_out(api.Refuse(action.id, to_ns(50.0)) if isinstance(action, api.Fail) else action)
+
+    put(core, "_carry_out", mild)
+
+
+def attempts_without_cap(node: Node) -> None:
+    """The limit of attempts is taken for a much larger one."""
+    balancer = balancer_of(node)
+    settings = balancer.settings
+    more = replace(settings, limits=replace(settings.limits, max_attempts=1000))
+    put(balancer, "settings", more)
+    put(node.core, "_settings", more)
+
+
+def asks_after_the_answer(node: Node) -> None:
+    """Each tenth request is sent to its server once more, 400 ms after its client has the answer."""
+    hit = every(OFTEN)
+    start = node.delivery.start
+
+    def once_more(attempt: DeliveryAttempt) -> None:
+        now = node.clock.now()
+        start(replace(attempt, number=1000, sent_at=now, until=now + 500, ended=False, give_up=None))
+
+    class Later(Alter):
+        uid = ""
+
+        def served(self, served: Served) -> None:
+            self.reply.served(served)
+            if (attempt := started.pop(self.uid, None)) is not None:
+                node.clock.call_at(node.clock.now() + 400, once_more, attempt)
+
+    def alter(envelope: Envelope, reply: Reply) -> Reply:
+        if envelope.write or not hit():
+            return reply
+        later = Later(reply)
+        later.uid = envelope.id.decode("ascii")
+        return later
+
+    started: dict[str, DeliveryAttempt] = {}
+
+    def noted(attempt: DeliveryAttempt) -> None:
+        started[attempt.id] = attempt
+        start(attempt)
+
+    put(node.delivery, "start", noted)
+    wrap_replies(node, alter)
+
+
+def key_altered(node: Node) -> None:
+    """Each tenth attempt asks for another key than the client did."""
+    _alter_envelopes(node, lambda envelope: replace(envelope, key=envelope.key + b"x"))
+
+
+def time_left_not_told(node: Node) -> None:
+    """Servers are told the client's whole time, however much of it is over."""
+    _alter_envelopes(node, lambda envelope: replace(envelope, wait_span=None), often=1)
+
+
+def _alter_envelopes(node: Node, change: Callable[[Envelope], Envelope], often: int = OFTEN) -> None:
+    hit = every(often)
+    start = node.delivery.start
+
+    def altered(attempt: DeliveryAttempt) -> None:
+        if hit():
+            attempt.envelope = change(attempt.envelope)
+        start(attempt)
+
+    put(node.delivery, "start", altered)
+
+
+# The fleet
+
+
+def fresh_work_3s_after_drain(node: Node) -> None:
+    """What the list says of servers that leave is taken in 4 s late."""
+    tell = node.watch._tell
+
+    def late(members: api.MemberList) -> None:
+        leaving = any(m.state is not api.MemberState.READY for m in members.members)
+        if leaving:
+            node.clock.call_at(node.clock.now() + 4000, tell, members)
+        else:
+            tell(members)
+
+    put(node.watch, "_tell", late)
+
+
+def cold_budget_ignored(node: Node) -> None:
+    """A server that has just started is taken for a warm one, and for the best of all."""
+    balancer = balancer_of(node)
+    pick = balancer.pick
+
+    def room(server: Server, request: Held) -> bool:
+        return True
+
+    def warmth(server: Server) -> float:
+        return 1.0
+
+    def eager(request: Held) -> str | None:
+        cold_ns = balancer.settings.rules.cold_ns
+        for name in balancer.ready:
+            started = balancer.servers[name].member.started_at
+            if started and balancer.now - started < cold_ns and name not in request.failed:
+                return name
+        return pick(request)
+
+    put(balancer, "cold_room", room)
+    put(balancer, "warmth", warmth)
+    put(balancer, "pick", eager)
+
+
+def connection_leak(node: Node) -> None:
+    """Connections to servers are neither used again nor closed, and no longer counted."""
+    lost: list[Link] = []
+
+    def forget(server: str, link: Link) -> None:
+        lost.append(link)
+        node.delivery._open -= 1
+
+    put(node.delivery, "_keep", forget)
--- /dev/null
+++ b/flintridge/lab/defects/table.py
@@ -0,0 +1,122 @@
+"""The planted defects by name: what applies each, which rules must catch it, and a day on which it shows."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from flintridge.lab.defects import planted
+from flintridge.lab.scenario.model import Scenario
+from flintridge.node import Node
+
+BASE: dict[str, Any] = {
+    "length_s": 12.0,
+    "warmup_s": 3.0,
+    "load": {"rate_per_s": 60.0},
+    "clients": {"leave_early": 0.0},
+    "wall_limit_s": 120.0,
+}
+
+
+@dataclass(frozen=True)
+class Defect:
+    """A mistake. At least one of the rules in `caught_by` must be broken on the day of `hints`, and none on
+    the same day by a sound node. `hints` are laid over `BASE`, table by table."""
+
+    apply: Callable[[Node], None]
+    caught_by: frozenset[str]
+    hints: Mapping[str, Any] = field(default_factory=dict)
+
+    @property
+    def about(self) -> str:
+        return (self.apply.__doc__ or "").strip()
+
+    def scenario(self, name: str) -> Scenario:
+        """The day on which it shows. Raises msgspec.ValidationError where the hints are wrong."""
+        built: dict[str, Any] = {"name": name}
+        for source in (BASE, self.hints):
+            for key, value in source.items():
+                old = built.get(key)
+                both = isinstance(value, Mapping) and isinstance(old, Mapping)
+                built[key] = {**old, **value} if both and old is not None else value
+        return msgspec.convert(built, Scenario)
+
+
+def _class(name: str, **values: Any) -> dict[str, Any]:
+    return {"name": name, "work_ms": 20.0, **values}
+
+
+READS = _class("read")
+# Writes go to the origin, which here takes longer for one than a hasty node would wait.
+SLOW_ORIGIN = {"read_ms": 250.0, "sigma": 0.1, "write_times": 1.5, "slots": 32}
+KEYED_DAY = {
+    "classes": [
+        READS,
+        _class("put", share=0.2, write=True, effect="keyed", window_ms=200.0, deadline_ms=4000.0),
+    ],
+    "origin": SLOW_ORIGIN,
+    "keys": {"count": 500},
+}
+UNSAFE_DAY = {
+    "classes": [READS, _class("pay", share=0.2, write=True, effect="unsafe", deadline_ms=4000.0)],
+    "origin": SLOW_ORIGIN,
+    "keys": {"count": 500},
+}
+UNSAFE_FAILS = {
+    "classes": [READS, _class("pay", share=0.2, write=True, effect="unsafe", deadline_ms=2000.0)],
+    "keys": {"count": 500},
+    "faults": [{"what": "origin_down", "at_s": 3.0, "for_s": 6.0, "how": "errors"}],
+}
+OVERLOAD = {
+    "classes": [_class("read", work_ms=100.0, aim_ms=500.0, deadline_ms=1500.0)],
+    "load": {"rate_per_s": 350.0},
+    "length_s": 5.0,
+}
+RESTART = {"faults": [{"what": "node_restart", "at_s": 5.0, "for_s": 5.0, "nodes": [0]}]}
+# The servers are busy, so that there is always something open when SIGTERM comes.
+BUSY_RESTART = {**RESTART, "classes": [_class("read", work_ms=100.0)], "load": {"rate_per_s": 90.0}}
+DRAIN = {"faults": [{"what": "drain", "at_s": 2.0, "for_s": 8.0, "count": 2}], "length_s": 14.0}
+COLD = {
+    "classes": [_class("read", work_ms=100.0)],
+    "load": {"rate_per_s": 110.0},
+    "faults": [{"what": "crash", "at_s": 2.0, "for_s": 2.0, "count": 1}],
+    "length_s": 15.0,
+}
+ERRORS = {
+    "limits": {"max_attempts": 2},
+    "faults": [{"what": "quick_errors", "at_s": 2.0, "for_s": 8.0, "share": 1.0, "part": 0.6}],
+}
+LATE_STARTS = {
+    "classes": [_class("read", work_ms=100.0)],
+    "load": {"rate_per_s": 130.0},
+    "faults": [{"what": "quick_errors", "at_s": 2.0, "for_s": 8.0, "share": 0.5, "part": 0.5}],
+}
+FEW_SOCKETS = {"nodes": {"sockets": 256}, "load": {"rate_per_s": 100.0}}
+
+
+def _defect(apply: Callable[[Node], None], *rules: str, hints: Mapping[str, Any] | None = None) -> Defect:
+    return Defect(apply, frozenset(rules), hints or {})
+
+
+DEFECTS: dict[str, Defect] = {
+    "answer_after_deadline": _defect(planted.answer_after_deadline, "late", "lost"),
+    "keyed_write_twice_past_window": _defect(planted.keyed_write_twice_past_window, "twice", hints=KEYED_DAY),
+    "fresh_work_3s_after_drain": _defect(planted.fresh_work_3s_after_drain, "drain", hints=DRAIN),
+    "refusal_held_back": _defect(planted.refusal_held_back, "held", hints=OVERLOAD),
+    "value_mixed_up": _defect(planted.value_mixed_up, "mixed"),
+    "dropped_at_sigterm": _defect(planted.dropped_at_sigterm, "lost", hints=BUSY_RESTART),
+    "cold_budget_ignored": _defect(planted.cold_budget_ignored, "cold", hints=COLD),
+    "connection_leak": _defect(planted.connection_leak, "leak", hints=FEW_SOCKETS),
+    "client_never_answered": _defect(planted.client_never_answered, "lost"),
+    "retry_of_what_may_have_run": _defect(planted.retry_of_what_may_have_run, "twice", hints=UNSAFE_DAY),
+    "refuses_what_may_have_run": _defect(planted.refuses_what_may_have_run, "twice", hints=UNSAFE_FAILS),
+    "two_answers": _defect(planted.two_answers, "double", "garbled"),
+    "invented_value": _defect(planted.invented_value, "invented"),
+    "key_altered": _defect(planted.key_altered, "altered", "malformed"),
+    "time_left_not_told": _defect(planted.time_left_not_told, "altered", hints=LATE_STARTS),
+    "attempts_without_cap": _defect(planted.attempts_without_cap, "attempts", hints=ERRORS),
+    "asks_after_the_answer": _defect(planted.asks_after_the_answer, "after_answer"),
+    "slow_to_leave": _defect(planted.slow_to_leave, "stopped", hints=RESTART),
+    "breaks_on_leaving": _defect(planted.breaks_on_leaving, "stopped", hints=RESTART),
+}
--- /dev/null
+++ b/flintridge/lab/judge/facts.py
@@ -0,0 +1,300 @@
+"""The log, put in order for the rules: requests with their answers and attempts, processes, servers, faults.
+
+Nothing is judged here. Every index is built from the records alone, in the order of the log.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from flintridge.lab.judge.lives import SERVES_ON_MS, Lives
+from flintridge.lab.records import (
+    Answered,
+    AnyRecord,
+    Asked,
+    Attempt,
+    Dropped,
+    GaveUp,
+    Happened,
+    Made,
+    NeverTaken,
+    NodeSaid,
+    Ran,
+    ServerSaid,
+)
+from flintridge.lab.scenario.model import RequestClass, Scenario, Span
+
+FINAL = ("served", "refused", "failed", "error")  # kinds of an answer that ends a request
+NEVER_RAN = ("busy", "miss")  # outcomes that prove that a request did not run
+LOOPBACK_MS = 50.0  # in real time every limit is longer by this
+TINY_MS = 0.01  # for sums of floating point
+# Faults that touch no connection and no link to a server: during any other, a node may be trying to reach a
+# server, or waiting on a connection that is dead, and no record tells of it.
+HARMLESS_TO_LINKS = (
+    "flush",
+    "hot_key",
+    "burst",
+    "crowding",
+    "slowness",
+    "quick_errors",
+    "spoilt",
+    "lost_answers",
+    "origin_slow",
+    "discovery",
+    "bad_clients",
+    "reload",
+    "node_",
+)
+LINKS_LAG_MS = 1000.0  # so long after such a fault its last connections may still be waited for
+
+
+def most(span: Span) -> float:
+    """The largest figure that may be drawn from a span."""
+    return span if isinstance(span, (int, float)) else max(span)
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """An attempt as it arrived, and what became of it at its server."""
+
+    record: Attempt
+    made: Made | None = None
+    dropped: Dropped | None = None
+    ran: bool = False
+
+    def never_ran(self, at: float) -> bool:
+        """Whether by then an answer had left that proves that it did not run."""
+        made = self.made
+        return made is not None and not made.lost and made.outcome in NEVER_RAN and made.t <= at + TINY_MS
+
+    @property
+    def ended(self) -> float | None:
+        """When its answer left or the node's end of it was seen; None where neither was.
+
+        A spoilt answer need be no end: a node may wait for the rest of what never comes.
+        """
+        whole = self.made is not None and not self.made.lost and self.made.outcome != "spoilt"
+        made = self.made.t if self.made is not None and whole else math.inf
+        dropped = self.dropped.t if self.dropped is not None else math.inf
+        end = min(made, dropped)
+        return None if end == math.inf else end
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A request as a node took it: once asked, with what came back on that connection."""
+
+    asked: Asked
+    behind: "Taken | None" = None  # the one asked before it on its connection
+    answers: list[Answered] = field(default_factory=list)
+    gave_up: GaveUp | None = None
+    again_at: float | None = None  # when its client sent it once more, or tried to
+
+    @property
+    def first(self) -> Answered | None:
+        return self.answers[0] if self.answers else None
+
+    @property
+    def final(self) -> Answered | None:
+        """The first whole answer."""
+        return next((answer for answer in self.answers if answer.kind in FINAL), None)
+
+    @property
+    def over_at(self) -> float:
+        """When it was over for its client, however; infinite where that was not seen."""
+        if self.answers:
+            return self.answers[0].t
+        if self.gave_up is not None:
+            return self.gave_up.t
+        return math.inf if self.again_at is None else self.again_at
+
+    @property
+    def free_at(self) -> float:
+        """From when on no answer before it on its connection was awaited; its asking, where none was."""
+        return self.asked.t if self.behind is None else max(self.asked.t, self.behind.over_at)
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """All that was seen under one uid."""
+
+    uid: str
+    takens: list[Taken] = field(default_factory=list)
+    never: NeverTaken | None = None
+    sent: list[Sent] = field(default_factory=list)  # by arrival
+
+
+@dataclass(slots=True)
+class Slacks:
+    """What the passage of bytes may add, in milliseconds."""
+
+    client: float  # one way, at the most
+    server: float
+    limit: float  # added to every limit of a rule
+
+    @property
+    def client_round(self) -> float:
+        return 2 * self.client + 5 + self.limit
+
+    @property
+    def server_round(self) -> float:
+        return 2 * self.server + 5 + self.limit
+
+
+class Day:
+    """The indexes of one log."""
+
+    def __init__(self, records: Iterable[AnyRecord], scenario: Scenario, backend: str) -> None:
+        self.records = list(records)
+        self.scenario = scenario
+        self.loopback = backend != "virtual"
+        links = scenario.links
+        limit = LOOPBACK_MS if self.loopback else 0.0
+        passage = 1 + links.jitter
+        server = max(most(links.same_ms), most(links.cross_ms)) * passage
+        self.slacks = Slacks(most(links.client_ms) * passage + 1, server + 1, limit)
+        self.classes = {cls.name: cls for cls in scenario.classes}
+        self.tries: dict[str, Try] = {}
+        self.sent: dict[int, Sent] = {}  # by the attempt's number
+        self.made_tokens: dict[str, Made] = {}  # the first that was made with it
+        self.starts: dict[str, list[ServerSaid]] = {}  # of each server
+        self.falls: dict[str, list[ServerSaid]] = {}  # of each server
+        self.conn_left: dict[int, float] = {}  # when a client closed its connection
+        self.conn_used: dict[int, int] = {}  # the number of the first attempt on a server's connection
+        self.lives = Lives(r for r in self.records if isinstance(r, NodeSaid))
+        self.faults = spans_of(self.records)
+        self.end = self.records[-1].t if self.records else 0.0
+        self._on_conn: dict[int, Taken] = {}
+        for record in self.records:
+            self._take(record)
+        lag = LINKS_LAG_MS
+        self._links_hit = [
+            (since, until + lag)
+            for name, since, until in self.faults
+            if not any(name.startswith(harmless) for harmless in HARMLESS_TO_LINKS)
+        ]
+
+    # What rules ask
+
+    def cls(self, name: str) -> RequestClass:
+        return self.classes.get(name) or RequestClass(name="unknown")
+
+    def links_hit(self, since: float, until: float) -> bool:
+        """Whether a fault was on that may keep a node waiting for a server without any record of it."""
+        return any(a <= until and since <= b for a, b in self._links_hit)
+
+    def excused(self, taken: Taken, until: float) -> bool:
+        """Whether its node did not live, or stood still, somewhere between the asking and `until`.
+
+        A node that ended by itself after SIGTERM is not excused for what came in time before.
+        """
+        asked = taken.asked
+        life = self.lives.at(asked.node, asked.t)
+        if life.paused(asked.t, until):
+            return True
+        if life.term is not None:
+            last = life.term.t + SERVES_ON_MS - self.slacks.client - self.slacks.limit
+            if asked.t > last:
+                return True
+        end = life.end
+        if end is None or (end.state == "exited" and life.term is not None and asked.t <= end.t):
+            return False
+        return end.t <= until + self.slacks.limit
+
+    def zone(self, server: str, origin: bool) -> str | None:
+        """A server's zone; None where none is told."""
+        if origin and server not in self.starts:
+            return self.scenario.origin.zone
+        said = self.starts.get(server)
+        return said[-1].zone or None if said else None
+
+    def node_zone(self, node: str) -> str:
+        """The zone of `n0`, `n1` ...: the scenario's zones of nodes in turn."""
+        zones = self.scenario.nodes.zones or self.scenario.zones
+        number = node[1:]
+        return zones[int(number) % len(zones)] if number.isdecimal() else zones[0]
+
+    # Building
+
+    def _try(self, uid: str) -> Try:
+        found = self.tries.get(uid)
+        if found is None:
+            found = self.tries[uid] = Try(uid)
+        return found
+
+    def _take(self, record: AnyRecord) -> None:
+        match record:
+            case Asked():
+                self._asked(record)
+            case Answered():
+                self._answered(record)
+            case Attempt():
+                sent = self.sent[record.number] = Sent(record)
+                self._try(record.uid).sent.append(sent)
+                self.conn_used.setdefault(record.conn, record.number)
+            case Made():
+                if (found := self.sent.get(record.number)) is not None and found.made is None:
+                    found.made = record
+                    found.ran = found.ran or record.ran
+                if record.token and not record.lost:
+                    self.made_tokens.setdefault(record.token, record)
+            case Dropped():
+                if (found := self.sent.get(record.number)) is not None and found.dropped is None:
+                    found.dropped = record
+            case Ran():
+                if (found := self.sent.get(record.number)) is not None:
+                    found.ran = not record.repeat or found.ran
+            case GaveUp():
+                self._gave_up(record)
+            case NeverTaken():
+                this = self._try(record.uid)
+                this.never = record
+                if this.takens and this.takens[-1].again_at is None:
+                    this.takens[-1].again_at = record.t
+            case ServerSaid(state="fallen"):
+                self.falls.setdefault(record.server, []).append(record)
+            case ServerSaid(state="started"):
+                self.starts.setdefault(record.server, []).append(record)
+
+    def _asked(self, record: Asked) -> None:
+        this = self._try(record.uid)
+        if this.takens and this.takens[-1].again_at is None:
+            this.takens[-1].again_at = record.t
+        taken = Taken(record, self._on_conn.get(record.conn))
+        if taken.behind is not None and taken.behind.over_at <= record.t:
+            taken.behind = None  # over before: nothing is kept of a long chain
+        self._on_conn[record.conn] = taken
+        this.takens.append(taken)
+
+    def _answered(self, record: Answered) -> None:
+        this = self.tries.get(record.uid)
+        if this is not None and this.takens:
+            this.takens[-1].answers.append(record)
+
+    def _gave_up(self, record: GaveUp) -> None:
+        this = self.tries.get(record.uid)
+        if this is None or not this.takens:
+            return
+        taken = this.takens[-1]
+        taken.gave_up = taken.gave_up or record
+        self.conn_left.setdefault(taken.asked.conn, record.t)
+
+
+def spans_of(records: Iterable[AnyRecord]) -> list[tuple[str, float, float]]:
+    """Faults as (name, from, to) in ms, in the order of their beginnings; infinite where no end was seen."""
+    spans: list[tuple[str, float, float]] = []
+    begun: list[tuple[int, str, str]] = []  # those without an end yet: place, name, detail
+    for record in records:
+        if not isinstance(record, Happened):
+            continue
+        if record.begins:
+            begun.append((len(spans), record.name, record.detail))
+            spans.append((record.name, record.t, math.inf))
+            continue
+        same = [entry for entry in begun if entry[1] == record.name]
+        # The one of the same detail, or the oldest: an end may tell other details than its beginning did.
+        exact = [entry for entry in same if entry[2] == record.detail]
+        for entry in (exact or same)[:1]:
+            begun.remove(entry)
+            spans[entry[0]] = (record.name, spans[entry[0]][1], record.t)
+    return spans
--- /dev/null
+++ b/flintridge/lab/judge/rules/__init__.py
@@ -0,0 +1,17 @@
+"""The rules: each is judged from the records of both sides alone."""
+
+from flintridge.lab.judge.facts import Day
+from flintridge.lab.judge.findings import Findings
+from flintridge.lab.judge.rules import answers, contents, effects, fleet, process
+
+PARTS = (answers, effects, contents, fleet, process)
+RULES: tuple[str, ...] = tuple(rule for part in PARTS for rule in part.RULES)
+
+
+def check(day: Day, findings: Findings) -> None:
+    """Put every breach of every rule into `findings`."""
+    for part in PARTS:
+        part.check(day, findings)
+
+
+__all__ = ["RULES", "check"]
--- /dev/null
+++ b/flintridge/lab/judge/rules/answers.py
@@ -0,0 +1,240 @@
+"""Rules on answers to clients: exactly one for each request, in time, and none held back."""
+
+import math
+from bisect import bisect_right
+from collections.abc import Iterator
+from itertools import accumulate
+
+from flintridge.lab.judge.facts import FINAL, TINY_MS, Day, Sent, Taken, Try
+from flintridge.lab.judge.findings import Findings
+from flintridge.lab.records import Answered, AnyRecord
+
+RULES = ("lost", "late", "double", "garbled", "held")
+
+NODE_MARGIN_MS = 10.0  # a node answers this much, or a tenth, before a client's time is over
+ENOUGH = 3  # attempts that a node has seen served before it can know how long they take
+CAUTION = 0.5  # of the quickest service: with less left than this, no sound node still waits
+
+
+def check(day: Day, findings: Findings) -> None:
+    quickest = Quickest(day)
+    for this, taken in every(day):
+        _one_answer(day, this, taken, findings)
+        _held(day, this, taken, quickest, findings)
+
+
+def every(day: Day) -> Iterator[tuple[Try, Taken]]:
+    """Each request as it was taken, with all that belongs to its uid."""
+    for this in day.tries.values():
+        for taken in this.takens:
+            yield this, taken
+
+
+def limit_of(day: Day, taken: Taken) -> float:
+    """By when an answer must have come; time behind answers before it on its connection does not count."""
+    slack = day.scenario.rules.answer_slack_ms
+    return max(taken.asked.t + taken.asked.wait_ms, taken.free_at) + slack
+
+
+def proof(this: Try, taken: Taken) -> list[AnyRecord | None]:
+    """All records of a request."""
+    found: list[AnyRecord | None] = [taken.asked, *taken.answers, taken.gave_up]
+    for sent in this.sent:
+        found += [sent.record, sent.made, sent.dropped]
+    return found
+
+
+def _one_answer(day: Day, this: Try, taken: Taken, findings: Findings) -> None:
+    asked, final = taken.asked, taken.final
+    limit = limit_of(day, taken)
+    for answer in taken.answers:
+        if answer.kind == "garbled" and not day.excused(taken, answer.t):
+            text = f"{asked.node} answered {asked.uid} with bytes that are no answer to it: {answer.text!r}"
+            findings.add("garbled", answer.t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+    if final is not None:
+        extra = [a for a in taken.answers if a is not final and a.kind in (*FINAL, "garbled")]
+        if extra:
+            text = f"{asked.node} gave {asked.uid} {1 + len(extra)} final answers"
+            findings.add("double", extra[0].t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+        if final.t > limit + TINY_MS and not day.excused(taken, final.t):
+            late = final.t - asked.t - asked.wait_ms
+            text = (
+                f"{asked.node} answered {asked.uid} {late:.1f} ms after its client's {asked.wait_ms:.0f} ms"
+            )
+            findings.add("late", final.t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+    elif (how := _lost(day, this, taken, limit)) is not None:
+        t, why = how
+        text = f"{asked.node} took {asked.uid} at {asked.t:.1f} ms and {why}"
+        findings.add("lost", t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+
+
+def _lost(day: Day, this: Try, taken: Taken, limit: float) -> tuple[float, str] | None:
+    """When and how a request without a final answer was lost; None where it was not the node's fault."""
+    asked, first = taken.asked, taken.first
+    if first is not None:
+        if first.kind not in ("closed", "reset") or day.excused(taken, first.t):
+            return None  # what was garbled has a rule of its own
+        if _client_closed(day, taken, first.t) or _crossed(day, this, taken, first.t, first):
+            return None
+        return first.t, f"ended its connection ({first.kind}) {first.t - asked.t:.1f} ms later"
+    if taken.gave_up is not None:
+        return _unanswered(day, this, taken, limit)
+    if taken.again_at is not None:
+        crossed = _crossed(day, this, taken, taken.again_at, None) or day.excused(taken, taken.again_at)
+        return None if crossed else (taken.again_at, "ended its connection though it had sent it on")
+    over = min(limit, day.end)
+    if day.end < limit or day.excused(taken, limit) or _client_closed(day, taken, over):
+        return None
+    return limit, "never answered"
+
+
+def _client_closed(day: Day, taken: Taken, until: float) -> bool:
+    """Whether its client had closed the connection itself, over another request on it."""
+    left = day.conn_left.get(taken.asked.conn)
+    return left is not None and left <= until + TINY_MS
+
+
+def _crossed(day: Day, this: Try, taken: Taken, t: float, end: Answered | None) -> bool:
+    """Whether the node may have closed the connection between requests, before it read this one.
+
+    Guards against a node that closes on what it has read: it then had sent it on, or the end came later than
+    one that was already under way.
+    """
+    asked = taken.asked
+    if taken.again_at is None:
+        return False
+    if any(s.record.node == asked.node and asked.t <= s.record.began <= t for s in this.sent):
+        return False
+    return end is None or end.t - asked.t <= day.slacks.client_round
+
+
+def _unanswered(day: Day, this: Try, taken: Taken, limit: float) -> tuple[float, str] | None:
+    """Of a client that waited for its whole time and left."""
+    asked, gave_up = taken.asked, taken.gave_up
+    assert gave_up is not None
+    waited = gave_up.t - asked.t
+    if gave_up.early or waited < asked.wait_ms - 1 or day.excused(taken, gave_up.t):
+        return None
+    if day.conn_left.get(asked.conn, gave_up.t) < gave_up.t - TINY_MS or taken.free_at > asked.t:
+        return None
+    if gave_up.t < limit - 1 and not _surely_silent(day, this, taken, gave_up.t):
+        return None
+    return gave_up.t, f"never answered: the client left after {waited:.1f} ms of {asked.wait_ms:.0f}"
+
+
+def _surely_silent(day: Day, this: Try, taken: Taken, left: float) -> bool:
+    """Whether no answer can have been on its way to a client that left within the slack of the rule.
+
+    A sound node answers a little before the client's time is over. Where the way of the bytes, or the
+    machine's own lag in real time, may take longer than that, only a node counts as silent that had an answer
+    to give long before, or never did a thing.
+    """
+    margin = min(NODE_MARGIN_MS, taken.asked.wait_ms / 10)
+    if not day.loopback and 2 * day.slacks.client - 2 < margin / 2:
+        return True
+    early = left - margin - day.slacks.client_round - day.slacks.server_round
+    mine = [s for s in this.sent if s.record.node == taken.asked.node]
+    if not mine:  # an untried request is answered by half of its time
+        return taken.asked.wait_ms / 2 > margin + day.slacks.client_round
+    return any(s.made is not None and s.made.token and not s.made.lost and s.made.t < early for s in mine)
+
+
+# Held back
+
+
+class Quickest:
+    """The least time that served attempts took, as a node could know it: by process, class, kind of server.
+
+    Read in the order of the log: at any time only what was served until then counts.
+    """
+
+    def __init__(self, day: Day) -> None:
+        self._day = day
+        served: dict[tuple[str, float, str, bool], list[tuple[float, float]]] = {}
+        for sent in day.sent.values():
+            made, record = sent.made, sent.record
+            if made is None or made.lost or not made.token:
+                continue
+            this = day.tries.get(record.uid)
+            if this is None or not this.takens:
+                continue
+            key = self._key(record.node, record.began, this.takens[0].asked.cls, record.origin)
+            served.setdefault(key, []).append((made.t, made.t - record.began))
+        self._at: dict[tuple[str, float, str, bool], tuple[list[float], list[float]]] = {}
+        for key, times in served.items():
+            times.sort()
+            least = list(accumulate((took for _, took in times), min))
+            self._at[key] = [at for at, _ in times], least
+
+    def _key(self, node: str, t: float, cls: str, origin: bool) -> tuple[str, float, str, bool]:
+        return node, self._day.lives.at(node, t).started, cls, origin
+
+    def at(self, node: str, t: float, cls: str, origin: bool) -> float | None:
+        """The least of the service times that the node's process had seen by `t`; None if they are few."""
+        made_at, least = self._at.get(self._key(node, t, cls, origin), ([], []))
+        count = bisect_right(made_at, t)
+        return least[count - 1] if count >= ENOUGH else None
+
+
+def _held(day: Day, this: Try, taken: Taken, quickest: Quickest, findings: Findings) -> None:
+    """A refusal or failure that came only once it was of no use to anyone.
+
+    Untried for more than half of its time; or with nothing out for it, and less time left than any answer of
+    its kind has taken: a sound node that waits for a place gives up while an answer could still come in time.
+    """
+    asked, final = taken.asked, taken.final
+    if final is None or final.kind not in ("refused", "failed") or taken.free_at > asked.t:
+        return
+    if day.excused(taken, final.t) or day.links_hit(asked.t, final.t):
+        return
+    waited = final.t - asked.t
+    mine = [s for s in this.sent if s.record.node == asked.node and asked.t <= s.record.began <= final.t]
+    if not mine:
+        if waited > asked.wait_ms / 2 + day.slacks.client_round:
+            text = (
+                f"{asked.node} {final.kind} {asked.uid}, untried, after {waited:.1f} ms of its "
+                f"{asked.wait_ms:.0f} ms"
+            )
+            findings.add("held", final.t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+        return
+    since = _idle_since(mine, final.t)
+    least = None if since is None else _least(taken, since, quickest)
+    if since is None or least is None:
+        return
+    idle = final.t - since
+    aim = day.cls(asked.cls).aim_ms
+    margin = max(0.0, min(NODE_MARGIN_MS, asked.wait_ms / 10) - day.slacks.client_round)
+    useful = CAUTION * (min(least, aim / 2) + margin)
+    left = asked.wait_ms - waited
+    if idle > least + day.slacks.server_round and left < useful:
+        text = (
+            f"{asked.node} {final.kind} {asked.uid} with {left:.1f} ms left and nothing out for "
+            f"{idle:.1f} ms, though no answer ever took less than {least:.1f} ms"
+        )
+        findings.add("held", final.t, text, proof(this, taken), uid=asked.uid, node=asked.node)
+
+
+def _idle_since(mine: list[Sent], t: float) -> float | None:
+    """Since when nothing had been out for a request at `t`; None where something was, or may have been."""
+    last = -math.inf
+    for sent in mine:
+        if sent.ended is None or sent.ended > t:
+            return None
+        last = max(last, sent.ended)
+    return last
+
+
+def _least(taken: Taken, since: float, quickest: Quickest) -> float | None:
+    """The least time that a further attempt could have taken, as far as the node knew; None if it did not.
+
+    What it knew when it began to wait: a sound node may reckon then how long that can be of use. A read that
+    missed may go to the origin, or to a cache server that has stored the key since.
+    """
+    asked = taken.asked
+    at_origin = quickest.at(asked.node, since, asked.cls, True)
+    if asked.write:
+        return at_origin
+    at_cache = quickest.at(asked.node, since, asked.cls, False)
+    if at_origin is None or at_cache is None:
+        return None
+    return min(at_origin, at_cache)
--- /dev/null
+++ b/flintridge/lab/judge/rules/process.py
@@ -0,0 +1,126 @@
+"""Rules on a node's process: it ends only when told to, answers bad clients in kind, and leaks nothing."""
+
+import math
+
+from flintridge.lab.judge.facts import Day
+from flintridge.lab.judge.findings import Findings
+from flintridge.lab.judge.lives import SERVES_ON_MS, Life
+from flintridge.lab.records import BadClient, Connections, NodeSaid
+
+RULES = ("stopped", "leak", "bad_clients", "unready")
+
+LAST_MS = 250.0  # for writing out the last answers, and for the end of the process
+CLIMB = 1.5  # times the most of the day's first quarter, and
+CLIMB_BY = 50  # more connections in its last one
+QUARTERS = 4
+
+
+def check(day: Day, findings: Findings) -> None:
+    for node in day.lives.by_node:
+        for life in day.lives.by_node[node]:
+            _stopped(day, life, findings)
+    _leaks(day, findings)
+    for record in day.records:
+        if isinstance(record, BadClient) and record.got == "served":
+            text = f"{record.node} served a client that sent what cannot be read ({record.kind})"
+            findings.add("bad_clients", record.t, text, [record], node=record.node)
+
+
+def _stopped(day: Day, life: Life, findings: Findings) -> None:
+    def found(t: float, text: str) -> None:
+        proof: list[NodeSaid | None] = [life.term, life.end]
+        findings.add("stopped", t, f"{life.node} {text}", proof, node=life.node)
+
+    term, end = life.term, life.end
+    if end is not None and end.state == "stuck":
+        found(end.t, f"was stuck: {end.text}" if end.text else "was stuck")
+    elif term is None:
+        if end is not None and end.state == "exited":
+            found(end.t, f"ended by itself with code {end.code}")
+    elif life.pauses or life.paused_at is not None:
+        return  # what it could do in its time is not known
+    else:
+        longest = max(cls.deadline_ms for cls in day.scenario.classes)
+        limit = term.t + longest + SERVES_ON_MS + LAST_MS + day.slacks.limit
+        ended = end.t if end is not None else math.inf
+        if end is not None and end.state == "exited" and end.code != 0:
+            found(end.t, f"ended with code {end.code} after SIGTERM")
+        elif min(ended, day.end) > limit:
+            found(limit, f"had not ended {limit - term.t:.0f} ms after SIGTERM")
+
+
+# Connections
+
+
+def _leaks(day: Day, findings: Findings) -> None:
+    by_node: dict[str, list[Connections]] = {}
+    for record in day.records:
+        if isinstance(record, Connections):
+            by_node.setdefault(record.node, []).append(record)
+    for node, samples in by_node.items():
+        # While links are hit servers may not see that a node has closed: these count for nothing.
+        idle = 1000 * _longest_idle(day)
+        clear = [s for s in samples if not day.links_hit(s.t - idle, s.t)]
+        if not _over(day, node, clear, findings):
+            _climbs(day, node, clear, findings)
+
+
+def _longest_idle(day: Day) -> float:
+    return max(kind.idle_s for kind in day.scenario.kinds)
+
+
+def _over(day: Day, node: str, samples: list[Connections], findings: Findings) -> bool:
+    room = day.scenario.nodes.sockets
+    for sample in samples:
+        held = sample.server_side + sample.client_side
+        if held > room:
+            text = (
+                f"{node} holds {held} connections, {sample.server_side} of them to servers; "
+                f"{room} are allowed"
+            )
+            findings.add("leak", sample.t, text, [sample], node=node)
+            return True
+    return False
+
+
+def _climbs(day: Day, node: str, samples: list[Connections], findings: Findings) -> None:
+    """Connections to servers that grow through all of the day, though what is out at them does not."""
+    length = 1000 * day.scenario.length_s / QUARTERS
+    parts: list[list[Connections]] = [[] for _ in range(QUARTERS)]
+    for sample in samples:
+        if 0 <= sample.t < QUARTERS * length:
+            parts[int(sample.t // length)].append(sample)
+    if not all(parts):
+        return
+    least = [min(s.server_side for s in part) for part in parts]
+    most = [max(s.server_side for s in part) for part in parts]
+    climbs = all(least[i + 1] > least[i] and most[i + 1] > most[i] for i in range(QUARTERS - 1))
+    if not climbs or least[-1] <= CLIMB * most[0] + CLIMB_BY:
+        return
+    out = _peaks(day, node, length)
+    if out[-1] > CLIMB * out[0] + CLIMB_BY:
+        return
+    first, last = parts[0][0], parts[-1][-1]
+    text = (
+        f"{node} holds more and more connections to servers: at most {most[0]} in the first quarter of the "
+        f"day, at least {least[-1]} in the last, with no more attempts out at once ({out[0]}, then {out[-1]})"
+    )
+    findings.add("leak", last.t, text, [first, *(part[-1] for part in parts)], node=node)
+
+
+def _peaks(day: Day, node: str, length: float) -> list[int]:
+    """The most attempts that a node had out at once in each quarter of the day."""
+    events: list[tuple[float, int]] = []
+    for sent in day.sent.values():
+        record = sent.record
+        if record.node == node:
+            ended = sent.ended
+            events += [(record.began, 1), (record.t + record.wait_ms if ended is None else ended, -1)]
+    events.sort()
+    peaks, out = [0] * QUARTERS, 0
+    for t, change in events:
+        out += change
+        quarter = math.floor(t / length)
+        if 0 <= quarter < QUARTERS:
+            peaks[quarter] = max(peaks[quarter], out)
+    return peaks
--- a/flintridge/lab/records.py
+++ b/flintridge/lab/records.py
@@ -168,6 +168,15 @@
     text: str = ""
 
 
+class Connections(Record, tag="connections"):
+    """How many connections a node holds, sampled once a second. One counts as held from its opening until the
+    node's end of it is closed, also where the other side has closed its own end before."""
+
+    node: str
+    server_side: int  # to cache servers and the origin
+    client_side: int
+
+
 class ServerSaid(Record, tag="server"):
     """A server's life: started, stopped, draining, gone, fallen (rule 4), silent, back."""
 
@@ -201,6 +210,7 @@
     | Malformed
     | Told
     | NodeSaid
+    | Connections
     | ServerSaid
     | Happened
 )
--- a/flintridge/lab/result.py
+++ b/flintridge/lab/result.py
@@ -67,6 +67,7 @@
     worst_window: float = 0.0
     hits: float = 0.0  # of reads at cache servers
     tries_per_request: float = 0.0  # of the clients
+    bad_unanswered: int = 0  # clients that sent what cannot be read and got nothing in time
     wasted: float = 0.0  # of the work done, what no client got
     cross_zone: float = 0.0  # of attempts
     digest: str = ""
@@ -81,6 +82,8 @@
     faults: list[tuple[str, float, float]] = []  # name, from, to (s)
     counters: dict[str, dict[str, int]] = {}  # by node, for reading only: the judge never sees them
     ended: str = "whole"  # whole, or why it was cut short: wall limit, stuck node, dead process
+    troubles: list[str] = []  # of the lab itself: why a run in real time cannot be judged by
+    lateness_ms: dict[str, float] = {}  # of the lab's own timers, in real time
     expectation: str = ""  # what the scenario expects and did not see
 
     @property
--- /dev/null
+++ b/tests/test_lab_defects.py
@@ -0,0 +1,36 @@
+"""Each planted defect is caught, by the name of a rule, and a sound node is not on the same day."""
+
+import msgspec
+import pytest
+
+from flintridge.lab.defects import DEFECTS
+from flintridge.lab.judge.verdict import RULES
+
+SEED = 3
+# Defects that show on the same day share one sound run.
+DAYS = {msgspec.json.encode(d.scenario("day")): name for name, d in reversed(DEFECTS.items())}
+
+
+@pytest.mark.parametrize("name", sorted(DEFECTS))
+def test_each_defect_says_what_it_does(name):
+    defect = DEFECTS[name]
+    assert defect.about and defect.caught_by <= set(RULES)
+    assert defect.scenario(name).name == name
+
+
+@pytest.mark.parametrize("name", list(DEFECTS))
+def test_the_judge_catches(name):
+    from flintridge.lab.run import play
+
+    result = play(DEFECTS[name].scenario(name), SEED, defect=name)
+    assert sum(result.rules[rule] for rule in DEFECTS[name].caught_by), result.rules
+    proofs = [breach for breach in result.breaches if breach.rule in DEFECTS[name].caught_by]
+    assert proofs and all(breach.text and breach.lines for breach in proofs)
+
+
+@pytest.mark.parametrize("name", sorted(DAYS.values()))
+def test_a_sound_node_breaks_no_rule(name):
+    from flintridge.lab.run import play
+
+    result = play(DEFECTS[name].scenario(name), SEED)
+    assert {rule: count for rule, count in result.rules.items() if count} == {}, result.breaches[:2]
