--- /dev/null
+++ b/benchmarks/lab_cost.py
@@ -0,0 +1,84 @@
+"""What a day in virtual time costs: CPU a request, the node's part and the lab's, and memory, at two sizes.
+
+Run from the repository's root on a quiet machine: python -m benchmarks.lab_cost [--repeats 3]
+Each figure is of a process of its own; of the repeats the one with the least CPU is shown.
+"""
+
+import argparse
+import concurrent.futures
+import multiprocessing
+import time
+
+import msgspec
+
+from flintridge.lab.run import play
+from flintridge.lab.scenario.load import load
+from flintridge.lab.scenario.model import Group, Scenario
+
+SIZES = {
+    "3 nodes x 8 servers, 300 requests/s, 60 s": (3, 8, 300.0, 60.0),
+    "20 nodes x 200 servers, 1,500 requests/s, 20 s": (20, 200, 1500.0, 20.0),
+}
+
+
+def sized(nodes: int, servers: int, rate: float, seconds: float) -> Scenario:
+    """The calm day at another size, without a warm-up, at the same load of each server."""
+    day = load("calm")
+    work = day.classes[0].work_ms
+    assert isinstance(work, float)
+    scale = (servers / 8) / (rate / 300)
+    classes = tuple(
+        msgspec.structs.replace(each, work_ms=float(each.work_ms) * scale)  # type: ignore[arg-type]
+        for each in day.classes
+    )
+    shares = [round(servers * part / 8) for part in (3, 2)]
+    counts = [*shares, servers - sum(shares)]
+    return msgspec.structs.replace(
+        day,
+        length_s=seconds,
+        warmup_s=0.0,
+        nodes=msgspec.structs.replace(day.nodes, count=nodes, zones=()),
+        servers=tuple(
+            Group(kind=g.kind, count=n, weight=g.weight) for g, n in zip(day.servers, counts, strict=True)
+        ),
+        classes=classes,
+        origin=msgspec.structs.replace(day.origin, slots=max(1, round(6 * rate / 300))),
+        load=msgspec.structs.replace(day.load, rate_per_s=rate, shape="flat"),
+        expect=type(day.expect)(),
+    )
+
+
+def measure(size: str) -> dict[str, float]:
+    began = time.process_time()
+    result = play(sized(*SIZES[size]), 1)
+    return {
+        "requests": result.requests,
+        "cpu_s": time.process_time() - began,
+        "lab_us": 1e6 * result.lab_cpu_s / result.requests,
+        "node_us": 1e6 * result.node_cpu_s / result.requests,
+        "memory_mb": result.peak_memory_mb,
+        "goodput": result.goodput,
+        "broken": result.broken,
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--repeats", type=int, default=3)
+    repeats = parser.parse_args().repeats
+    best: list[dict[str, float]] = []
+    for size in SIZES:
+        runs = []
+        for _ in range(repeats):
+            with concurrent.futures.ProcessPoolExecutor(
+                1, mp_context=multiprocessing.get_context("spawn")
+            ) as pool:
+                runs.append(pool.submit(measure, size).result())
+        best.append(min(runs, key=lambda run: run["cpu_s"]))
+        said = "  ".join(f"{name} {value:,.3f}" for name, value in best[-1].items())
+        print(f"{size}\n  {said}", flush=True)
+    print(f"the lab's own cost a request, large over small: {best[1]['lab_us'] / best[0]['lab_us']:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/flintridge/cli/lab_shrink.py
+++ b/flintridge/cli/lab_shrink.py
@@ -17,8 +17,9 @@
 @click.option("--goodput-under", type=click.FloatRange(0, 1), help="The goodput has to stay under this.")
 @click.option("--unfinished", is_flag=True, help="The run has to stay one that does not come to its end.")
 @click.option(
-    "--budget", type=click.IntRange(2, 100_000), default=300, show_default=True, help="Runs at most."
+    "--budget", type=click.IntRange(2, 100_000), default=500, show_default=True, help="Runs at most."
 )
+@click.option("--tries", type=click.IntRange(1, 100), default=3, show_default=True, help="Seeds a candidate.")
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="File for the scenario found.")
 @click.option("--log", type=click.Path(path_type=Path), help="Write every step to this file.")
 @click.option("--limit", "limit_s", type=click.FloatRange(min=1), help="Seconds that a run may take.")
@@ -35,6 +36,7 @@
     goodput_under: float | None,
     unfinished: bool,
     budget: int,
+    tries: int,
     out: Path,
     log: Path | None,
     limit_s: float | None,
@@ -46,8 +48,8 @@
 ) -> None:
     """Cut a day that goes wrong to the fewest faults, nodes, servers, keys and seconds that still do.
 
-    What is found is an ordinary scenario that expects its broken rule (expect.breaks); it goes wrong with the
-    same --seed. A day that does not go wrong as asked is wrong input: exit code 2.
+    What is found is an ordinary scenario that expects its broken rule (expect.breaks); the seed that it goes
+    wrong with is told. A day that does not go wrong as asked is wrong input: exit code 2.
 
     \b
     Examples:
@@ -92,6 +94,7 @@
             seed,
             predicate,
             budget=budget,
+            tries=tries,
             backend=backend,
             defect=defect,
             workers=workers,
@@ -107,4 +110,4 @@
     if json_file is not None:
         output.write(json_file, output.json_text(msgspec.to_builtins(found)))
     tables.print_shrunk(found)
-    click.echo(f"play it: flintridge lab run {out} --seed {seed}")
+    click.echo(f"play it: flintridge lab run {out} --seed {found.seed}")
--- /dev/null
+++ b/flintridge/lab/backend/virtual.py
@@ -0,0 +1,280 @@
+"""The day in virtual time: the fabric over the in-memory network, and the nodes as hosts on it."""
+
+import asyncio
+import signal
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from flintridge.lab.fabric import DayClock, Links, Listener
+from flintridge.lab.records import Connections, Log, NodeSaid
+from flintridge.lab.virtual import VirtualLoop
+from flintridge.net.clock import SystemClock
+from flintridge.net.counters import Counters
+from flintridge.node import Node
+from flintridge.settings import ConfigError, node_config
+
+UNIX_MS = 1_700_000_000_000.0  # the Unix time at which each virtual day begins
+LISTENING_PORT = 11211
+KEPT_EVENTS = 400  # of each node's own log
+SAMPLE_MS = 1000.0
+
+
+class VirtualClock:
+    """DayClock on a virtual loop: `zero` is the loop's time (s) at which the day begins."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, zero: float) -> None:
+        self._loop = loop
+        self._zero = zero
+
+    def now(self) -> float:
+        return (self._loop.time() - self._zero) * 1000
+
+    def unix_ms(self, at: float) -> float:
+        return UNIX_MS + at
+
+    def call_at(self, at: float, call: Callable[..., object], *args: object) -> asyncio.TimerHandle:
+        return self._loop.call_at(self._zero + at / 1000, call, *args)
+
+    def call_later(self, ms: float, call: Callable[..., object], *args: object) -> asyncio.TimerHandle:
+        return self._loop.call_later(ms / 1000, call, *args)
+
+    async def sleep_until(self, at: float) -> None:
+        await asyncio.sleep((at - self.now()) / 1000)
+
+
+class VirtualFabric:
+    """A Fabric on a Network whose hosts are the parties, by their names."""
+
+    def __init__(self, loop: VirtualLoop, links: Links, day_begins_s: float) -> None:
+        """`day_begins_s` is on the loop's clock."""
+        self.loop = loop
+        self.network = loop.network
+        self.links = links
+        self._day_begins_s = day_begins_s
+        self.clock: DayClock = VirtualClock(loop, day_begins_s)
+        self._numbers: dict[str, int] = {}
+
+    def address(self, party: str, node: str) -> tuple[str, int]:
+        number = self._numbers.setdefault(party, len(self._numbers))
+        which = int(node[1:])
+        return f"127.{16 + which // 200}.{which % 200}.{number % 250 + 1}", LISTENING_PORT + number // 250
+
+    async def listen(self, party: str, node: str, factory: Callable[[], asyncio.Protocol]) -> Listener:
+        host, port = self.address(party, node)
+        return await self.network.host(party).run(self.loop.create_server(factory, host, port))
+
+    async def connect(
+        self, party: str, node: str, factory: Callable[[], asyncio.Protocol]
+    ) -> asyncio.Transport:
+        host, port = self.address("listen", node)
+        connecting = self.loop.create_connection(factory, host, port)
+        transport: asyncio.Transport
+        transport, _ = await self.network.host(party).run(connecting)
+        return transport
+
+    def sent_at(self, transport: asyncio.BaseTransport) -> float:
+        sent: float = transport.get_extra_info("sent_at")
+        return (sent - self._day_begins_s) * 1000
+
+    def links_changed(self) -> None:
+        self.network.links_changed()
+
+    def held_by(self, node: str) -> tuple[int, int]:
+        """Connections whose ends on a node's machine are open: with clients, and with servers."""
+        peers = self.network.host(node).peers()
+        clients = sum(1 for peer in peers if peer[:1] == "c" and peer[1:].isdigit())
+        return clients, sum(1 for peer in peers if not peer.startswith("discovery")) - clients
+
+
+class NodeLog:
+    """The log of a virtual node: its last events, and how many of each kind there were."""
+
+    def __init__(self, clock: DayClock) -> None:
+        self._clock = clock
+        self.kinds: Counter[str] = Counter()
+        self.last: deque[tuple[float, str, dict[str, object]]] = deque(maxlen=KEPT_EVENTS)
+
+    def event(self, event: str, **fields: object) -> None:
+        self.kinds[event] += 1
+        self.last.append((self._clock.now(), event, fields))
+
+    def error(self, event: str, error: BaseException, **fields: object) -> None:
+        self.event(event, error=repr(error), **fields)
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a node, from its start to its end."""
+
+    config: dict[str, Any]
+    log: NodeLog
+    counters: Counters = field(default_factory=Counters)
+    node: Node | None = None
+
+
+class VirtualNodes:
+    """A NodeRunner: each node's real code on a host of its own."""
+
+    def __init__(
+        self,
+        fabric: VirtualFabric,
+        log: Log,
+        start_ms: Callable[[str], float],
+        config_of: Callable[[str], dict[str, Any]],
+        plant: Callable[[Node], object] | None = None,
+    ) -> None:
+        """`plant` is given each node right after it was put together: to plant a defect in it."""
+        self._fabric = fabric
+        self._log = log
+        self._start_ms = start_ms
+        self._config_of = config_of
+        self._plant = plant
+        self._lives: dict[str, Life] = {}
+        self._ended: dict[str, asyncio.Event] = {}
+        self._counters: dict[str, Counter[str]] = {}
+        self._sampler = fabric.clock.call_later(SAMPLE_MS, self._sample)
+
+    def node(self, name: str) -> Node | None:
+        """The node's object while it lives, for tests."""
+        life = self._lives.get(name)
+        return None if life is None else life.node
+
+    def log_of(self, name: str) -> NodeLog | None:
+        life = self._lives.get(name)
+        return None if life is None else life.log
+
+    async def start(self, node: str) -> None:
+        host = self._fabric.network.host(node)
+        if not host.alive:
+            host.revive()
+        life = self._lives[node] = Life(self._config_of(node), NodeLog(self._fabric.clock))
+        self._ended[node] = asyncio.Event()
+        self._say(node, "started")
+        host.run(self._live(node, life))
+
+    async def _live(self, name: str, life: Life) -> None:
+        """What the daemon's main does, on this host."""
+        loop = asyncio.get_running_loop()
+        ending = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, ending.set)
+        loop.set_exception_handler(lambda _, said: _unhandled(life, said))
+        code, text = 1, ""
+        try:
+            await asyncio.sleep(self._start_ms(name) / 1000)
+            clock = SystemClock(loop, self._fabric.clock.unix_ms(self._fabric.clock.now()))
+            node = life.node = Node(node_config(life.config, {}), clock, life.log, life.counters)
+            loop.add_signal_handler(signal.SIGHUP, self._read_again, name, life)
+            if self._plant is not None:
+                self._plant(node)
+            await node.start()
+            await ending.wait()
+            await node.leave()
+            code = 0
+        except ConfigError as error:
+            code, text = 2, str(error)
+        except Exception as error:  # the process ends by it, as the daemon would
+            text = repr(error)
+        self._over(name, "exited", code, text)
+        # The process is gone: the kernel closes what it left open. From the lab, not from the process itself.
+        loop.call_soon(self._fabric.network.host(name).kill)
+
+    def _read_again(self, name: str, life: Life) -> None:
+        assert life.node is not None
+        try:
+            new = node_config(life.config, {})
+        except ConfigError as error:
+            life.node.refuse_reload(error)
+        else:
+            life.node.reload(new)
+
+    def kill(self, node: str) -> None:
+        if self.running(node):
+            self._fabric.network.host(node).kill()
+            self._over(node, "killed", -signal.SIGKILL)
+
+    def term(self, node: str) -> None:
+        if self.running(node):
+            self._say(node, "term")
+            self._fabric.network.host(node).signal(signal.SIGTERM)
+            if not self._fabric.network.host(node).alive:  # it had no handler yet
+                self._over(node, "exited", -signal.SIGTERM)
+
+    def reload(self, node: str, config: dict[str, Any]) -> None:
+        if self.running(node):
+            self._lives[node].config = config
+            self._say(node, "hup")
+            self._fabric.network.host(node).signal(signal.SIGHUP)
+            if not self._fabric.network.host(node).alive:
+                self._over(node, "exited", -signal.SIGHUP)
+
+    def pause(self, node: str) -> None:
+        if self.running(node):
+            self._say(node, "paused")
+            self._fabric.network.host(node).pause()
+
+    def resume(self, node: str) -> None:
+        if self.running(node):
+            self._say(node, "resumed")
+            self._fabric.network.host(node).resume()
+
+    def running(self, node: str) -> bool:
+        return node in self._ended and not self._ended[node].is_set()
+
+    async def ended(self, node: str) -> None:
+        if node in self._ended:
+            await self._ended[node].wait()
+
+    async def close(self) -> None:
+        self._sampler.cancel()
+        for node in list(self._lives):
+            if self.running(node):
+                self._count(node)
+                self._ended[node].set()
+                self._fabric.network.host(node).kill()
+
+    def usage(self) -> dict[str, Any]:
+        for node in self._lives:
+            if self.running(node):
+                self._count(node)
+        busy = [self._fabric.network.host(node).busy_s for node in self._lives]
+        counters = {node: dict(sorted(seen.items())) for node, seen in self._counters.items()}
+        return {"node_cpu_s": sum(busy), "node_memory_mb": 0.0, "counters": counters}
+
+    def _sample(self) -> None:
+        self._sampler = self._fabric.clock.call_later(SAMPLE_MS, self._sample)
+        for node in self._lives:
+            if self.running(node):
+                clients, servers = self._fabric.held_by(node)
+                self._log.add(
+                    Connections(
+                        t=self._fabric.clock.now(), node=node, server_side=servers, client_side=clients
+                    )
+                )
+
+    # A node's end
+
+    def _over(self, node: str, state: str, code: int, text: str = "") -> None:
+        if self.running(node):
+            self._count(node)
+            self._ended[node].set()
+            self._say(node, state, code, text)
+
+    def _count(self, node: str) -> None:
+        """Add up what this life counted, once."""
+        life = self._lives[node]
+        seen = self._counters.setdefault(node, Counter())
+        seen.update(life.counters.snapshot())
+        seen.update({f"log_{kind}": count for kind, count in life.log.kinds.items()})
+        life.counters = Counters()
+        life.log.kinds.clear()
+
+    def _say(self, node: str, state: str, code: int = 0, text: str = "") -> None:
+        self._log.add(
+            NodeSaid(t=self._fabric.clock.now(), node=node, state=state, code=code, text=text[:300])
+        )
+
+
+def _unhandled(life: Life, said: dict[str, Any]) -> None:
+    life.log.event("unhandled", message=str(said.get("message")), error=repr(said.get("exception")))
--- /dev/null
+++ b/flintridge/lab/report/html.py
@@ -0,0 +1,281 @@
+"""Reports as single HTML files: the template filled, plots inline, nothing loaded from anywhere."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import jinja2
+import msgspec
+
+from flintridge.lab.experiment.compare import Comparison
+from flintridge.lab.experiment.search import Day, Search, ranked
+from flintridge.lab.experiment.stats import FIGURES, faults_of
+from flintridge.lab.experiment.sweep import Point, Sweep
+from flintridge.lab.report.plots import Plot, compare_plots, run_plots, sweep_plots
+from flintridge.lab.report.tables import number
+from flintridge.lab.result import Breach, Result
+from flintridge.lab.scenario.model import Expect, Scenario
+
+TONES = {"better": "good", "worse": "bad", "even": "", "unsure": ""}
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Cells of a table; `tone` is good, bad, warn or nothing."""
+
+    cells: list[str]
+    tone: str = ""
+
+
+class Table(msgspec.Struct, frozen=True):
+    """`texts` are the columns, beside the first one, that hold words."""
+
+    title: str
+    head: list[str]
+    rows: list[Row]
+    about: str = ""
+    texts: tuple[int, ...] = (0,)
+
+
+class Page(msgspec.Struct, kw_only=True, frozen=True):
+    """What the template shows, in its order."""
+
+    title: str
+    about: list[str] = []
+    verdict: str = "unsound"
+    unsound: list[str] = []
+    cards: list[tuple[str, str]] = []
+    rules: list[Row] = []
+    tables: list[Table] = []
+    breaches: list[Breach] = []
+    plots: list[Plot] = []
+    after: list[Table] = []  # small ones, side by side
+    texts: list[tuple[str, str]] = []
+    footer: str = ""
+
+
+def run_report(result: Result, scenario: Scenario | None = None, text: str = "") -> str:
+    """A run's report. With the scenario its description and expectations are told; `text` is its TOML."""
+    expect = Expect() if scenario is None else scenario.expect
+    about = [f"Seed {result.seed}, {result.backend} backend, digest {result.digest or '-'}."]
+    if scenario is not None and scenario.about:
+        about.insert(0, scenario.about)
+    return _filled(
+        Page(
+            title=result.scenario,
+            about=about,
+            unsound=faults_of(result, expect),
+            cards=_cards(result),
+            rules=_rules(result, expect),
+            breaches=result.breaches,
+            plots=run_plots(result),
+            after=[*_faults(result), *_shares(result), *_counters(result)],
+            texts=[("The scenario", text)] if text else [],
+            footer=_cost(result),
+        )
+    )
+
+
+def compare_report(comparison: Comparison) -> str:
+    """A comparison's report."""
+    differences = Table(
+        "Figures",
+        ["", "A", "B", "B - A", "95% of it", "B is", "sign test p"],
+        [
+            Row(
+                [
+                    one.name,
+                    number(one.a, one.unit),
+                    number(one.b, one.unit),
+                    f"{one.mean:+.4g}",
+                    f"{one.low:+.4g} to {one.high:+.4g}",
+                    one.verdict,
+                    f"{one.sign_p:.2f}",
+                ],
+                TONES[one.verdict],
+            )
+            for one in comparison.figures
+            if comparison.pairs
+        ],
+        f"Means over {len(comparison.pairs)} pairs of runs, each pair under one seed.",
+    )
+    rules = [
+        Row(
+            [rule.name, f"{rule.a} : {rule.b}"], "bad" if rule.new else "warn" if rule.a or rule.b else "good"
+        )
+        for rule in comparison.rules
+    ]
+    worse = [f"rule {rule.name} breaks in B and holds in A" for rule in comparison.rules if rule.new]
+    return _filled(
+        Page(
+            title=f"{comparison.a} against {comparison.b}",
+            about=[
+                f"A: {comparison.a}",
+                f"B: {comparison.b}",
+                f"{len(comparison.seeds)} seeds, {comparison.backend} backend.",
+            ],
+            unsound=worse + comparison.failures,
+            rules=rules,
+            tables=[differences],
+            plots=compare_plots(comparison),
+            footer="Intervals: percentile bootstrap of the mean paired difference, 10,000 resamples.",
+        )
+    )
+
+
+def sweep_report(swept: Sweep) -> str:
+    """A sweep's report."""
+    paths = [parameter.path for parameter in swept.parameters]
+    names = [figure.name for figure in FIGURES]
+    rows = []
+    for point in swept.points:
+        cells = [number(point.figures[f.name].mean, f.unit) if point.figures else "-" for f in FIGURES]
+        broken = ", ".join(f"{name}: {count}" for name, count in point.broken.items())
+        tone = "bad" if point.broken or point.failures else ""
+        rows.append(Row([*point.values, str(point.seeds), *cells, broken], tone))
+
+    def place(point: Point) -> str:
+        return ", ".join(f"{path}={value}" for path, value in zip(paths, point.values, strict=True))
+
+    unsound = [f"{place(p)}: rule {name} broken" for p in swept.points for name in p.broken]
+    unsound += [f"{place(p)}: {line}" for p in swept.points for line in p.failures]
+    return _filled(
+        Page(
+            title=f"{swept.scenario} over {' and '.join(paths)}",
+            about=[f"{len(swept.seeds)} seeds a point, {swept.backend} backend."],
+            unsound=unsound,
+            plots=sweep_plots(swept),
+            tables=[Table("Points", [*paths, "seeds", *names, "broken"], rows, "Means over the seeds.")],
+        )
+    )
+
+
+def search_report(found: Search) -> str:
+    """A search's report: its days, the worst first."""
+    rows = [
+        Row(
+            [
+                day.name,
+                *(f"{value:.3f}" if value >= 0 else "-" for value in figures_of(day)),
+                " ".join(f"{name}:{count}" for name, count in {**day.calm_rules, **day.rules}.items())
+                or day.failed,
+                ", ".join(day.faults),
+            ],
+            "bad" if day.broken or day.failed else "",
+        )
+        for day in ranked(found.days)
+    ]
+    head = ["day", "goodput", "calm", "reference", "severity", "load", "behind", "broken", "faults"]
+    bad = [
+        f"{day.name}: {day.failed or 'a rule is broken'}" for day in found.days if day.broken or day.failed
+    ]
+    return _filled(
+        Page(
+            title=f"Search with seed {found.seed}",
+            about=[f"{len(found.days)} random days in {found.minutes:.1f} minutes, {len(found.kept)} kept."],
+            unsound=bad,
+            tables=[Table("Days", head, rows, "Worst first.", (0, 7, 8))],
+        )
+    )
+
+
+def figures_of(day: Day) -> tuple[float, ...]:
+    """A search day's figures, in the order of the columns."""
+    return day.goodput, day.calm, day.reference, day.severity, day.load, day.behind
+
+
+def _filled(page: Page) -> str:
+    loader = jinja2.PackageLoader("flintridge.lab.report", "")
+    # Names and sentences come from files and from servers' bytes: all are escaped, but for our own SVG.
+    environment = jinja2.Environment(loader=loader, autoescape=True, undefined=jinja2.StrictUndefined)
+    return environment.get_template("template.html.j2").render(page=page)
+
+
+def _cost(result: Result) -> str:
+    parts = (
+        f"{result.records:,} records",
+        f"{result.wall_s:.1f} s of real time",
+        f"CPU: {result.lab_cpu_s:.1f} s for the lab, {result.node_cpu_s:.1f} s for the nodes",
+        f"memory: {result.peak_memory_mb:.0f} MB at most",
+    )
+    return "; ".join(parts)
+
+
+def _cards(result: Result) -> list[tuple[str, str]]:
+    latency = result.latency_ms
+    return [
+        ("goodput", number(result.goodput)),
+        ("goal", number(result.goal)),
+        ("worst window", number(result.worst_window)),
+        ("requests", f"{result.requests:,}"),
+        ("served in aim", f"{result.served_in_aim:,}"),
+        ("served late", f"{result.served - result.served_in_aim:,}"),
+        ("refused", f"{result.deferred:,}"),
+        ("failed", f"{result.failed:,}"),
+        ("p50", number(latency.p50, "ms")),
+        ("p99", number(latency.p99, "ms")),
+        ("p999", number(latency.p999, "ms")),
+        ("attempts a request", f"{result.attempts_per_request:.3f}"),
+        ("origin a request", f"{result.origin_per_request:.3f}"),
+        ("hits", number(result.hits)),
+        ("work wasted", number(result.wasted)),
+    ]
+
+
+def _rules(result: Result, expect: Expect) -> list[Row]:
+    """Broken ones first, then by name."""
+    rows = []
+    for name, count in sorted(result.rules.items(), key=lambda rule: (not rule[1], rule[0])):
+        known = bool(count) and name in expect.breaks
+        rows.append(Row([name, f"{count} (known)" if known else str(count)], _tone(count, known)))
+    return rows
+
+
+def _tone(count: int, known: bool) -> str:
+    if not count:
+        return "good"
+    return "warn" if known else "bad"
+
+
+def _shares(result: Result) -> list[Table]:
+    groups = (("class", result.goodput_by_class), ("tenant", result.goodput_by_tenant))
+    return [
+        Table(f"Goodput by {name}", [name, "goodput"], [Row([k, number(v)]) for k, v in sorted(of.items())])
+        for name, of in groups
+        if len(of) > 1
+    ]
+
+
+def _faults(result: Result) -> list[Table]:
+    if not result.faults:
+        return []
+    rows = [Row([name, f"{begins:.1f} s", f"{ends:.1f} s"]) for name, begins, ends in result.faults]
+    return [Table("What went wrong", ["fault", "from", "to"], rows)]
+
+
+def _counters(result: Result) -> list[Table]:
+    """The nodes' own counters, side by side."""
+    nodes = sorted(result.counters)
+    names = sorted({name for counts in result.counters.values() for name in counts})
+    if not names:
+        return []
+    most: Sequence[str] = nodes[:8]
+    rows = [Row([name, *(f"{result.counters[n].get(name, 0):,}" for n in most)]) for name in names]
+    return [
+        Table("The nodes' own counters", ["", *most], rows, "For reading only: no figure above uses them.")
+    ]
+
+
+def of_json(data: bytes, scenario: Scenario | None = None, text: str = "") -> str:
+    """The report of what any of the commands saved as JSON. Raises msgspec.MsgspecError, ValueError."""
+    plain: Any = msgspec.json.decode(data)
+    if not isinstance(plain, dict):
+        raise ValueError("holds no object")
+    what = plain.get("what")
+    if what is None:
+        return run_report(msgspec.convert(plain, Result), scenario, text)
+    if what == "compare":
+        return compare_report(msgspec.convert(plain, Comparison))
+    if what == "sweep":
+        return sweep_report(msgspec.convert(plain, Sweep))
+    if what == "search":
+        return search_report(msgspec.convert(plain, Search))
+    raise ValueError(f"what: {what!r}: one of compare, sweep, search, or none for a run")
--- /dev/null
+++ b/flintridge/lab/run.py
@@ -0,0 +1,188 @@
+"""One run: a scenario, a seed and a backend in; the judged result out."""
+
+import asyncio
+import resource
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from flintridge.lab.backend.virtual import VirtualFabric, VirtualNodes
+from flintridge.lab.defects import DEFECTS
+from flintridge.lab.fabric import Fabric, NodeRunner
+from flintridge.lab.faults.timeline import Timeline
+from flintridge.lab.judge.verdict import judge
+from flintridge.lab.load.driver import Load
+from flintridge.lab.records import Log, NodeSaid
+from flintridge.lab.result import Result
+from flintridge.lab.scenario.model import Scenario, Span
+from flintridge.lab.seeds import Seeds
+from flintridge.lab.truth import Truth
+from flintridge.lab.virtual import Network, Stuck, VirtualLoop
+from flintridge.lab.world.fleet import World
+from flintridge.lab.world.links import LinkTable
+
+BACKENDS = ("virtual", "loopback")
+LEAD_MS = 2_000.0  # before the warm-up: nodes start and get ready
+READY_MS = 30_000.0  # so long they may take
+SETTLE_MS = 1_000.0  # after the last answer, in which late bytes and late attempts would still show
+
+
+def play(
+    scenario: Scenario,
+    seed: int,
+    *,
+    backend: str = "virtual",
+    defect: str | None = None,
+    events: Path | None = None,
+) -> Result:
+    """Play a day and judge it.
+
+    `defect` names one of `flintridge.lab.defects.DEFECTS` to plant in every node (virtual only); `events` is
+    a file for the log, one JSON line a record. Raises ValueError for a backend or defect that there is none
+    of, OSError where the log cannot be written.
+    """
+    if backend not in BACKENDS:
+        raise ValueError(f"backend: {backend!r}: one of {', '.join(BACKENDS)}")
+    if defect is not None and (backend != "virtual" or defect not in DEFECTS):
+        raise ValueError(f"defect: {defect!r}: one of {', '.join(sorted(DEFECTS))}, on the virtual backend")
+    began, cpu = time.perf_counter(), time.process_time()
+    log = Log()
+    if backend == "virtual":
+        ended, usage = _play_virtual(scenario, seed, log, defect)
+    else:
+        from flintridge.lab.backend.loopback import play_loopback
+
+        ended, usage = play_loopback(scenario, seed, log, day)
+    if events is not None:
+        log.write(events)
+    result = judge(log, scenario, seed, backend)
+    result.ended = ended
+    result.digest = log.digest()
+    result.records = len(log)
+    result.wall_s = time.perf_counter() - began
+    result.node_cpu_s = usage["node_cpu_s"]
+    result.lab_cpu_s = time.process_time() - cpu - (usage["node_cpu_s"] if backend == "virtual" else 0.0)
+    result.node_memory_mb = usage["node_memory_mb"]
+    result.peak_memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    result.counters = usage["counters"]
+    result.troubles = usage.get("troubles", [])
+    result.lateness_ms = usage.get("lateness", {})
+    result.expectation = _unmet(scenario, result)
+    return result
+
+
+async def day(
+    scenario: Scenario,
+    seeds: Seeds,
+    log: Log,
+    fabric: Fabric,
+    truth: Truth,
+    make_nodes: Callable[[World], NodeRunner],
+) -> tuple[NodeRunner, World]:
+    """The whole day on a fabric; the nodes still run at its end, for whoever closes them."""
+    world = World(scenario, seeds, log, fabric, truth)
+    await world.open()
+    runner = make_nodes(world)
+    load = Load(scenario, seeds, log, truth, fabric, world.nodes, world.node_zones)
+    await load.start()
+    runner = Announced(runner, load)
+    for node in world.nodes:
+        await runner.start(node)
+    await load.ready(READY_MS)
+    timeline = Timeline(scenario, seeds, world, fabric, runner, load)
+    faults = asyncio.ensure_future(timeline.run())
+    try:
+        await load.run()
+        await fabric.clock.sleep_until(fabric.clock.now() + SETTLE_MS)
+    finally:
+        await timeline.stop()
+        faults.cancel()
+        await asyncio.gather(faults, return_exceptions=True)
+        await load.close()
+    return runner, world
+
+
+class Announced:
+    """A NodeRunner that tells the front of its nodes' starts and ends, as the platform does."""
+
+    def __init__(self, runner: NodeRunner, load: Load) -> None:
+        self._runner = runner
+        self._load = load
+
+    async def start(self, node: str) -> None:
+        await self._runner.start(node)
+        self._load.front.node_started(node)
+
+    def kill(self, node: str) -> None:
+        self._runner.kill(node)
+        self._load.front.node_killed(node)
+
+    def term(self, node: str) -> None:
+        self._load.front.node_term(node)
+        self._runner.term(node)
+
+    def reload(self, node: str, config: dict[str, Any]) -> None:
+        self._runner.reload(node, config)
+
+    def pause(self, node: str) -> None:
+        self._runner.pause(node)
+
+    def resume(self, node: str) -> None:
+        self._runner.resume(node)
+
+    def running(self, node: str) -> bool:
+        return self._runner.running(node)
+
+    async def ended(self, node: str) -> None:
+        await self._runner.ended(node)
+
+    async def close(self) -> None:
+        await self._runner.close()
+
+    def usage(self) -> dict[str, Any]:
+        return self._runner.usage()
+
+
+def _play_virtual(scenario: Scenario, seed: int, log: Log, defect: str | None) -> tuple[str, dict[str, Any]]:
+    seeds = Seeds(seed)
+    links = LinkTable(scenario.links, seeds)
+    loop = VirtualLoop(Network(links.link))
+    fabric = VirtualFabric(loop, links, loop.time() + (LEAD_MS + scenario.warmup_s * 1000) / 1000)
+    plant = None if defect is None else DEFECTS[defect].apply
+    starts = seeds.of("nodes/start")
+    made: list[VirtualNodes] = []
+
+    def make_nodes(world: World) -> NodeRunner:
+        made.append(
+            VirtualNodes(
+                fabric, log, lambda _: drawn(scenario.nodes.start_ms, starts), world.node_config, plant
+            )
+        )
+        return made[0]
+
+    ended = "whole"
+    try:
+        loop.run(day(scenario, seeds, log, fabric, Truth(), make_nodes), wall_limit_s=scenario.wall_limit_s)
+    except Stuck as stuck:
+        ended = f"stuck: {stuck}"
+        if stuck.host in {name for name in (f"n{i}" for i in range(scenario.nodes.count))}:
+            log.add(NodeSaid(t=fabric.clock.now(), node=stuck.host, state="stuck", text=str(stuck)[:300]))
+    usage = made[0].usage() if made else {"node_cpu_s": 0.0, "node_memory_mb": 0.0, "counters": {}}
+    return ended, usage
+
+
+def drawn(span: Span, random: Any) -> float:
+    """One value of a Span."""
+    if isinstance(span, tuple):
+        low, high = span
+        return float(random.uniform(low, high))
+    return float(span)
+
+
+def _unmet(scenario: Scenario, result: Result) -> str:
+    expect, unmet = scenario.expect, []
+    if expect.goodput_at_least is not None and result.goodput < expect.goodput_at_least:
+        unmet.append(f"goodput {result.goodput:.4f} is below {expect.goodput_at_least}")
+    unmet += [f"rule {rule} was kept" for rule in expect.breaks if not result.rules.get(rule)]
+    return "; ".join(unmet)
--- /dev/null
+++ b/flintridge/lab/scenario/load.py
@@ -0,0 +1,97 @@
+"""Scenarios from files, by name and with single values changed; and back to TOML."""
+
+from collections.abc import Sequence
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import tomli_w
+
+from flintridge.config.faults import ConfigFaults, Fault, decode_raw
+from flintridge.config.words import NOTHING
+from flintridge.lab.scenario import sources
+from flintridge.lab.scenario.model import Scenario
+from flintridge.lab.scenario.overrides import Override, apply, source
+
+
+def load(path_or_name: str | Path, overrides: Sequence[str] = ()) -> Scenario:
+    """A scenario from a file (TOML, or JSON by its suffix) or by the name of a shipped one.
+
+    Each of `overrides` changes one value, as `load.rate_per_s=300`, `faults[0].for_s=3` or `nodes.count=5`;
+    values are TOML, and a bare word is text. A file may stand upon another one by `base = "calm"`. A trace is
+    taken as relative to the file that names it and made absolute. Raises ConfigFaults with every fault, and
+    OSError where the file cannot be read.
+    """
+    changes = [Override.parse(one) for one in overrides]
+    file, raw = sources.read(path_or_name)
+    for change in changes:
+        raw = apply(raw, change)
+    try:
+        scenario = decode_raw(file, raw, Scenario)
+        scenario, missing = _with_trace(scenario)
+        found = [Fault(file, *_parted(said)) for said in (*missing, *_contradictions(scenario))]
+        if found:
+            raise ConfigFaults(found)
+    except ConfigFaults as error:
+        raise ConfigFaults([_blamed(fault, changes) for fault in error.faults]) from error
+    return scenario
+
+
+def names() -> dict[str, str]:
+    """The shipped scenarios in the order of their names, each with its `about`."""
+    return {name: sources.about(text) for name, text in sources.shipped().items()}
+
+
+def dump(scenario: Scenario, *, whole: bool = False) -> str:
+    """As TOML that `load` takes; values left at their defaults only with `whole`."""
+    plain = _every(scenario) if whole else msgspec.to_builtins(scenario)
+    return tomli_w.dumps(plain)
+
+
+def _contradictions(scenario: Scenario) -> list[str]:
+    try:
+        check = import_module("flintridge.lab.faults.check").check
+    except ModuleNotFoundError as error:
+        if error.name != "flintridge.lab.faults.check":
+            raise
+        return []
+    found: list[str] = check(scenario)
+    return found
+
+
+def _parted(said: str) -> tuple[str, Any, str]:
+    """`path: reason` as the parts of a fault."""
+    path, _, reason = said.partition(": ")
+    return (path, NOTHING, reason) if reason else ("", NOTHING, said)
+
+
+def _blamed(fault: Fault, changes: Sequence[Override]) -> Fault:
+    """A fault in what an override set is the override's, not the file's."""
+    for change in changes:
+        if fault.path == change.path or fault.path.startswith((f"{change.path}.", f"{change.path}[")):
+            return Fault(source(change.text), fault.path, fault.value, fault.reason, fault.allowed)
+    return fault
+
+
+def _with_trace(scenario: Scenario) -> tuple[Scenario, list[str]]:
+    """One that an override names is relative to the current folder."""
+    trace = scenario.load.trace
+    if not trace:
+        return scenario, []
+    path = Path(trace).absolute()
+    load_part = msgspec.structs.replace(scenario.load, trace=str(path))
+    missing = [] if path.is_file() else [f"load.trace: there is no file {str(path)!r}"]
+    return msgspec.structs.replace(scenario, load=load_part), missing
+
+
+def _every(value: Any) -> Any:
+    """Plain values with the defaults in; what is None is left out, TOML has no word for it."""
+    if isinstance(value, msgspec.Struct):
+        config = value.__struct_config__
+        plain = {str(config.tag_field): config.tag} if config.tag_field is not None else {}
+        for name in value.__struct_fields__:
+            if (held := getattr(value, name)) is not None:
+                plain[name] = _every(held)
+        return plain
+    return [_every(one) for one in value] if isinstance(value, list | tuple) else value
--- /dev/null
+++ b/flintridge/lab/scenario/sources.py
@@ -0,0 +1,98 @@
+"""Where scenarios come from: files, those that ship with the lab, and the `base` that one may stand upon."""
+
+from collections.abc import Iterator
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+from flintridge.config import units
+from flintridge.config.faults import ConfigFaults, Fault
+from flintridge.config.syntax import SyntaxFault, parse
+from flintridge.config.words import NOTHING
+
+NAMED = resources.files("flintridge.lab.scenario") / "named"
+BASE = "base"
+
+
+def read(path_or_name: str | Path) -> tuple[str, Any]:
+    """What to call the source, and its plain values with those of its base under them.
+
+    A table is laid over the base's table name by name, anything else takes the place of what the base has.
+    Raises ConfigFaults, OSError.
+    """
+    return _read(path_or_name, Path(), ())
+
+
+def shipped() -> dict[str, bytes]:
+    """The texts of the scenarios that ship with the lab, by name and in the order of names."""
+    return dict(_shipped())
+
+
+def about(text: bytes) -> str:
+    """What a shipped scenario says of itself."""
+    try:
+        return str(parse("", text).get("about", ""))
+    except SyntaxFault as error:  # guards the list against one file that cannot be read
+        return f"(cannot be read: {error})"
+
+
+def _read(path_or_name: str | Path, folder: Path, above: tuple[str, ...]) -> tuple[str, Any]:
+    file, text, inside = _text(path_or_name, folder)
+    try:
+        raw = parse(file, text)
+    except SyntaxFault as error:
+        raise ConfigFaults([Fault(file, error.place, NOTHING, error.reason)]) from error
+    if not isinstance(raw, dict):
+        return file, raw
+    _place_trace(raw, inside)
+    if BASE not in raw:
+        return file, raw
+    base = raw.pop(BASE)
+    if not isinstance(base, str) or not base:
+        raise ConfigFaults([Fault(file, BASE, base, "must be the name of a shipped scenario, or a file")])
+    if file in above:  # guards against files that stand upon each other without end
+        raise ConfigFaults([Fault(file, BASE, base, "leads back to this file")])
+    try:
+        _, under = _read(base, inside, (*above, file))
+    except OSError as error:
+        reason = f"cannot be read: {error.strerror or error}"
+        raise ConfigFaults([Fault(file, BASE, base, reason)]) from error
+    return file, _laid(raw, under) if isinstance(under, dict) else under
+
+
+def _text(path_or_name: str | Path, folder: Path) -> tuple[str, bytes, Path]:
+    """The name of the source, its text, and the folder that paths in it start from."""
+    said = str(path_or_name)
+    path = folder / said
+    if isinstance(path_or_name, str) and Path(said).name == said and path.suffix not in (".toml", ".json"):
+        known = shipped()
+        if said in known:
+            return said, known[said], Path.cwd()
+        if not path.is_file():
+            meant = units.close(said, list(known))
+            hint = f"did you mean {meant}?" if meant else "`flintridge lab list` names those that ship"
+            raise ConfigFaults([Fault(said, "", NOTHING, f"no such scenario, and no such file; {hint}")])
+    return str(path), path.read_bytes(), path.parent
+
+
+def _shipped() -> Iterator[tuple[str, bytes]]:
+    if NAMED.is_dir():
+        for entry in sorted(NAMED.iterdir(), key=lambda one: one.name):
+            if entry.name.endswith(".toml"):
+                yield entry.name.removesuffix(".toml"), entry.read_bytes()
+
+
+def _place_trace(raw: dict[str, Any], folder: Path) -> None:
+    """A trace is named from where its file lies, whatever stands upon that file from elsewhere."""
+    load = raw.get("load")
+    if isinstance(load, dict) and isinstance(load.get("trace"), str) and load["trace"]:
+        load["trace"] = str((folder / load["trace"]).absolute())
+
+
+def _laid(over: dict[str, Any], under: dict[str, Any]) -> dict[str, Any]:
+    whole = dict(under)
+    for name, value in over.items():
+        held = whole.get(name)
+        tables = isinstance(value, dict) and isinstance(held, dict)
+        whole[name] = _laid(value, held or {}) if tables else value
+    return whole
--- a/flintridge/lab/virtual/net.py
+++ b/flintridge/lab/virtual/net.py
@@ -169,6 +169,11 @@
         """Sockets: those that connect or wait to be accepted, too."""
         return len(self._process.endpoints)
 
+    def peers(self) -> list[str]:
+        """The host at the other end of each open connection, "" for one that nobody answers."""
+        ends = self._process.endpoints
+        return ["" if end.peer_host is None else end.peer_host.name for end in ends]
+
     @property
     def tasks_alive(self) -> int:
         return len(self._process.pending())
