Refuse what there is no room for in place of closing unread, and count only sent attempts as tries

Checked: SenderSide._accepted closed connections beyond the room, and _free_one those that had never asked, without a word while their first request was on its way.

Change: both closings say `SERVER_ERROR busy` first, and up to 8 connections beyond the room are read past before they end, so that the answer isn't lost to a reset; nothing of the request is read, so it never ran.

The test of MOOT fails without the change.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -148,6 +148,7 @@
     sent_at: int
     idle: int | None = None  # how long its connection had been unused; None: it had to be opened
     open: bool = True
+    moot: bool = False  # it was never sent
 
 
 @dataclass(slots=True, eq=False)
@@ -192,10 +193,8 @@
         self.fleet_cost: float | None = None
         self.good_cost: float | None = None  # mean of the attempts that did not fail, at whichever server
         self.kinds: dict[int, float] = {}  # mean cost at machines of a kind
-        self.top_weight, self.mean_weight = (
-            0.0,
-            1.0,
-        )  # of the caches: the largest ever listed, and of those ready
+        self.top_weight = 0.0  # of the caches: the largest ever listed
+        self.mean_weight = 1.0  # of those ready
         self.shares: dict[str, float] = {}  # of each ready server, not older than SHARES_AGE
         self.share_sum = 0.0
         self.shares_until = 0
@@ -347,7 +346,7 @@
         usual = self.latency.get((request.event.cls, gate is self.origin), 0.0)
         cls = request.cls
         until = request.arrived + (cls.deadline_ns if cls.late_share else cls.aim_ns)
-        if not request.attempts:
+        if all(attempt.moot for attempt in request.attempts):
             # A client told early that there is no place may still come again in time, or try elsewhere.
             until = min(until, request.came + int(UNTRIED_PART * (request.event.deadline - request.came)))
         # A slow spell must not teach that a class is hopeless: half its aim is always given a chance.
@@ -683,7 +682,7 @@
         attempt = request.attempts[event.attempt]
         if not attempt.open:
             return
-        attempt.open = False
+        attempt.open, attempt.moot = False, event.outcome is Outcome.MOOT
         known = self.servers[attempt.server]
         known.inflight -= 1
         if known.member.state is MemberState.GONE:
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -22,6 +22,9 @@
 BAD_COMMANDS = 4  # on one connection; it is closed upon the last of them
 PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
 PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
+PARTINGS = (
+    8  # connections beyond the room that are read past before they are closed, of the spare descriptors
+)
 LINGER = 400.0  # after SIGTERM, until which new connections keep coming and idle ones stay open
 LAST_BYTES = 1_000.0  # at the end, for answers that clients are still reading
 SERVING = 700.0  # after SIGTERM, until which what arrives is served
@@ -186,15 +189,7 @@
             await self._moved.wait()
         await within(self._side.clock, SLOW_READER, self._writer.drain())
         with contextlib.suppress(OutOfTime):
-            await within(self._side.clock, PARTING, self._part())
-
-    async def _part(self) -> None:
-        """Read past what the client still sends, for a little: its end, or that it goes on at full speed."""
-        if self._writer.can_write_eof() and not self._writer.is_closing():
-            self._writer.write_eof()
-        left = PARTING_BYTES
-        while left > 0 and (data := await self._reader.read(65536)):
-            left -= len(data)
+            await within(self._side.clock, PARTING, part(self._reader, self._writer))
 
     def _end(self) -> None:
         slots, self._slots = self._slots, deque()
@@ -203,10 +198,26 @@
                 self._side.core.gone(slot.uid)
         self.close()
 
+    def make_place(self) -> None:
+        """Close it for another one. One that never asked is refused, as its first request may be coming; a
+        client whose connection had served sends its next one again."""
+        if not self.asked:
+            self._writer.writelines(memcache.defer_parts(0.0))
+        self.close()
+
     def close(self) -> None:
         self._writer.close()
 
 
+async def part(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read past what the client still sends, for a little: its end, or that it goes on at full speed."""
+    if writer.can_write_eof() and not writer.is_closing():
+        writer.write_eof()
+    left = PARTING_BYTES
+    while left > 0 and (data := await reader.read(65536)):
+        left -= len(data)
+
+
 class SenderSide:
     def __init__(
         self,
@@ -229,6 +240,7 @@
         # A dict, not a set: it is walked in the order of arrival, and two nodes given the same do the same.
         self._connections: dict[SenderConnection, None] = {}
         self._leaving = False  # connections are closed between requests
+        self._partings = 0
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
     @property
@@ -243,8 +255,7 @@
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self._connections) >= self.room and not self._free_one():
-            self.counters.add("connections_turned_away")
-            writer.close()
+            await self._turn_away(reader, writer)
             return
         self.counters.add("connections_accepted")
         connection = SenderConnection(self, reader, writer)
@@ -257,6 +268,23 @@
         finally:
             self._connections.pop(connection, None)
 
+    async def _turn_away(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """No room: say so, and close.
+
+        Guards the request that is on its way: closed without a word it would be lost to its client, which
+        may come again if it was refused. Nothing of it is read, so it never ran.
+        """
+        self.counters.add("connections_turned_away")
+        writer.writelines(memcache.defer_parts(0.0))
+        if self._partings < PARTINGS:
+            self._partings += 1
+            try:
+                with contextlib.suppress(OutOfTime, OSError):
+                    await within(self.clock, PARTING, part(reader, writer))
+            finally:
+                self._partings -= 1
+        writer.close()
+
     def _free_one(self) -> bool:
         """Make place: what asked and is idle for longest goes first, then what never asked.
 
@@ -270,7 +298,7 @@
         oldest = min(unused, key=lambda c: (not c.asked, c.used_at))
         self.counters.add("connections_made_place")
         self._connections.pop(oldest, None)
-        oldest.close()
+        oldest.make_place()
         return True
 
     def _sweep(self) -> None:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -535,3 +535,14 @@
     assert same > 80  # of 100: it has the key
     router.balancer.refresh_shares()
     assert router.balancer.caches.narrowed_at is None and min(router.balancer.shares.values()) > 0.5
+
+
+def test_an_attempt_that_was_never_sent_does_not_make_a_request_tried():
+    """Guards against refusals late in a client's time though nothing was ever written for it."""
+    router = Router(count=1, limits=api.Limits(max_attempts=4, cancel=True))
+    uid = router.ask(deadline=router.now + 1000 * MS)
+    router.balancer.caches.limit, router.balancer.caches.starting = 0.5, False
+    router.balancer.caches.next_at = router.now + 5 * S  # no place before its time is over
+    router.end(uid, Outcome.MOOT)
+    router.pass_time(460 * MS)
+    assert isinstance(router.answers.get(uid), api.Refuse)
