--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -1,9 +1,11 @@
 """One run: a scenario, a seed and a backend in; the judged result out."""
 
 import asyncio
+import gc
 import resource
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -56,7 +58,8 @@
         ended, usage = play_loopback(scenario, seed, log, day)
     if events is not None:
         log.write(events)
-    result = judge(log, scenario, seed, backend)
+    with _no_collections():
+        result = judge(log, scenario, seed, backend)
     result.ended = ended
     result.digest = log.digest()
     result.records = len(log)
@@ -172,6 +175,19 @@
     return ended, usage
 
 
+@contextmanager
+def _no_collections() -> Iterator[None]:
+    """Guards the judging of a large day: it makes objects by the hundred thousand and no garbage, and each
+    collection would walk them all."""
+    enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if enabled:
+            gc.enable()
+
+
 def drawn(span: Span, random: Any) -> float:
     """One value of a Span."""
     if isinstance(span, tuple):
--- a/flintridge/lab/virtual/loop.py
+++ b/flintridge/lab/virtual/loop.py
@@ -24,8 +24,8 @@
 MOVED = 1e-6  # s; time that goes on by less stands still, as far as Stuck is concerned
 LAST_HANDLES = 8  # named by Stuck
 REARM = 0.25  # s of real time, after which a Stuck that was swallowed is raised again
-COLLECT = 20_000  # handles between collections of garbage, all of it each COLLECT_ALL times
-COLLECT_ALL = 50
+COLLECT = 200_000  # handles between collections of garbage, all of it each COLLECT_ALL times
+COLLECT_ALL = 10
 
 
 class Deadlock(RuntimeError):
