Let clients wait out the slack of the rule on answers, so that lost and late are told apart

Change: a client whose time ran out counts on no answer any more, retries, and keeps that connection open for the slack of the rule and 5 ms, in which an answer is written down (Late).

--- a/flintridge/lab/judge/facts.py
+++ b/flintridge/lab/judge/facts.py
@@ -105,7 +105,7 @@
         if self.answers:
             return self.answers[0].t
         if self.gave_up is not None:
-            return self.gave_up.t
+            return self.gave_up.t + self.gave_up.stays_ms
         return math.inf if self.again_at is None else self.again_at
 
     @property
@@ -277,7 +277,7 @@
             return
         taken = this.takens[-1]
         taken.gave_up = taken.gave_up or record
-        self.conn_left.setdefault(taken.asked.conn, record.t)
+        self.conn_left.setdefault(taken.asked.conn, record.t + record.stays_ms)
 
 
 def spans_of(records: Iterable[AnyRecord]) -> list[tuple[str, float, float]]:
--- a/flintridge/lab/load/pool.py
+++ b/flintridge/lab/load/pool.py
@@ -45,6 +45,7 @@
     __slots__ = (
         "_last",
         "_over",
+        "_past",
         "_pool",
         "_reader",
         "_served",
@@ -65,6 +66,7 @@
         self._served = 0  # answers that it brought
         self._last = ""  # the uid of the last of them
         self._over = False
+        self._past = False  # it is kept for a late answer alone
         self.once = once  # kept after its one request, and never used again
         self.pending: deque[Asker] = deque()
         self.number = 0  # over the day
@@ -73,7 +75,9 @@
 
     @property
     def usable(self) -> bool:
-        return not self._over and self._transport is not None and not self._transport.is_closing()
+        if self._over or self._past or self._transport is None:
+            return False
+        return not self._transport.is_closing()
 
     def write(self, asker: Asker, data: bytes) -> None:
         """Send a request, and tell when its last byte has left."""
@@ -90,6 +94,14 @@
         if self.usable and not self.pending:
             self._pool.release(self)
 
+    def wait_past(self, asker: Asker, late: Asker, ms: float) -> None:
+        """`asker`'s time is over: `late` waits in its place for so long, then the connection is closed."""
+        if self._over:
+            return
+        self._past = True
+        self.pending[self.pending.index(asker)] = late
+        self._pool.call_later(ms, self.abandon)
+
     def abandon(self, asker: Asker | None = None) -> None:
         """Close it at once, for `asker`'s sake: the others on it lose their answers."""
         if self._over:
@@ -136,6 +148,8 @@
         if not self.pending:
             if self._reader.partial:
                 self._unasked(Answer("garbled", "bytes that nobody asked for"))
+            elif self._past:
+                self.abandon()
             else:
                 self._pool.release(self)
 
@@ -233,6 +247,9 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def call_later(self, ms: float, call: Callable[[], object]) -> None:
+        self._pools.fabric.clock.call_later(ms, call)
+
     def sweep(self, before: float) -> None:
         """Close what was used last before this instant (ms)."""
         while self._idle and self._idle[0].used_at < before:
