Send a request where there is a place, however slow its class was: it was refused for ever

Checked by a trace of the gates, a second apart: from its eighth second on the usual latency of the class `read` stayed at 431 ms to the digit, while that of the other class was 50 ms.

Lines at fault: decide.last_start took the usual latency off the limit for untried requests, 0.45 of the client's try (363 ms), so that a request was too late as it came; none was sent, and what would have shown the class quick again could not be seen. A slow spell thus closed a class for good on idle servers.

Change: the limit for untried requests ends no earlier than their coming. Who finds no place is still refused at once, and who could not be answered before its deadline is as before.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -343,14 +343,16 @@
                 self.timer(until, "wait", request.event.id)
 
     def last_start(self, request: Held, gate: Gate) -> int:
-        usual = self.latency.get((request.event.cls, gate is self.origin), 0.0)
-        cls = request.cls
-        until = request.arrived + (cls.deadline_ns if cls.late_share else cls.aim_ns)
-        if all(attempt.moot for attempt in request.attempts):
-            # A client told early that there is no place may still come again in time, or try elsewhere.
-            until = min(until, request.came + int(UNTRIED_PART * (request.event.deadline - request.came)))
+        cls, event = request.cls, request.event
         # A slow spell must not teach that a class is hopeless: half its aim is always given a chance.
-        return min(until, request.event.deadline) - int(min(usual, LATE_PART * cls.aim_ns))
+        usual = min(self.latency.get((event.cls, gate is self.origin), 0.0), LATE_PART * cls.aim_ns)
+        until = min(request.arrived + (cls.deadline_ns if cls.late_share else cls.aim_ns), event.deadline)
+        if all(attempt.moot for attempt in request.attempts):
+            # A client told early that there is no place may still come again in time, or try elsewhere. Where
+            # there is one it goes at once, however slow its class was: else that would never be known again.
+            waits = max(0.0, UNTRIED_PART * (event.deadline - request.came) - usual)
+            return min(until - int(usual), request.came + int(waits))
+        return until - int(usual)
 
     def value(self, request: Held) -> float:
         """Worth for each unit of work, and less for what is beyond the tenant's quota."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -546,3 +546,13 @@
     router.end(uid, Outcome.MOOT)
     router.pass_time(460 * MS)
     assert isinstance(router.answers.get(uid), api.Refuse)
+
+
+def test_a_class_that_was_slow_is_tried_again_where_there_is_a_place():
+    """Guards against a class that is refused for ever: what would show it quick again was never sent."""
+    router = Router(count=3)
+    router.balancer.latency[0, False] = 10 * S  # of a slow spell
+    uid = router.ask(deadline=router.now + 500 * MS)  # 0.45 of it is less than half the aim
+    assert router.server_of(uid) and uid not in router.answers
+    late = router.ask(deadline=router.now + 100 * MS)  # but not with less time left than half its aim
+    assert isinstance(router.answers.get(late), api.Refuse)
--- a/tests/test_lab_found.py
+++ b/tests/test_lab_found.py
@@ -1,7 +1,8 @@
-"""Days on which the search broke a rule, shrunk to the least that still did: the node they found is mended.
+"""Days that the search kept, shrunk to the least that still went wrong: what they found is mended.
 
-Each file of `tests/found` is an ordinary scenario; its name is RULE-SEED.toml, and its `about` says what was
-wrong. `flintridge lab run tests/found/FILE --seed SEED` plays one by hand.
+Each file of `tests/found` is an ordinary scenario. Its name is RULE_WORDS-SEED.toml (`goodput` for one that
+fell behind, which then expects more), and its `about` says what was wrong. To play one by hand:
+`flintridge lab run tests/found/FILE --seed SEED`.
 """
 
 from pathlib import Path
@@ -18,5 +19,7 @@
 def test_what_was_found_stays_mended(path):
     rule, _, seed = path.stem.rpartition("-")
     result = play(load(path), int(seed))
-    assert rule.split("_")[0] in result.rules and result.requests
+    kind = rule.split("_")[0]
+    assert result.requests and (kind in result.rules or kind == "goodput")
     assert result.broken == 0, result.breaches[:3]
+    assert result.expectation == ""
