--- /dev/null
+++ b/tests/test_lab_run.py
@@ -0,0 +1,106 @@
+"""Whole runs: the same seed is the same day, and a node or a day without end is bounded and told."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from flintridge.lab import defects
+from flintridge.lab.defects import Defect
+from flintridge.lab.records import Connections, Log, read
+from flintridge.lab.run import play
+from flintridge.lab.scenario.load import load, names
+
+ROOT = Path(__file__).resolve().parent.parent
+# Some of everything whose order could depend on more than the seed, in a short day.
+HARD = [
+    "length_s=6",
+    "warmup_s=2",
+    "load.rate_per_s=120",
+    "links.cut=0.2",
+    "clients.pipeline=3",
+    'faults=[{what="crash",at_s=1,for_s=2,count=2},{what="node_kill",at_s=2,for_s=1},'
+    '{what="node_restart",at_s=4,nodes=[1]},{what="spoilt",at_s=1,for_s=4,share=1.0,part=0.05},'
+    '{what="bad_clients",at_s=1,for_s=4,per_s=5},{what="zone_loss",at_s=3,for_s=2,zone="west"}]',
+]
+
+
+def played_elsewhere(seed: int, hash_seed: str, tmp_path: Path) -> dict:
+    out = tmp_path / f"{seed}-{hash_seed}.json"
+    words = [f"--set={one}" for one in HARD]
+    command = [sys.executable, "-m", "flintridge.cli", "lab", "run", "calm", f"--seed={seed}", *words]
+    done = subprocess.run(
+        [*command, f"--json={out}"],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed},
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    assert done.returncode in (0, 1), done.stderr  # 1: less goodput than a calm day's
+    return json.loads(out.read_text())
+
+
+def test_a_seed_is_one_day_in_every_process_and_another_seed_another_day(tmp_path):
+    events = tmp_path / "events.jsonl"
+    here = play(load("calm", HARD), 4, events=events)
+    assert here.broken == 0 and here.ended == "whole", here.breaches[:3]
+    there = [played_elsewhere(4, hash_seed, tmp_path) for hash_seed in ("1", "77")]
+    assert [run["digest"] for run in there] == [here.digest] * 2
+    assert there[0]["goodput"] == there[1]["goodput"] == here.goodput
+    assert played_elsewhere(5, "1", tmp_path)["digest"] != here.digest
+    log = Log()
+    for record in read(events.read_bytes().splitlines()):
+        log.add(record)
+    assert log.digest() == here.digest and len(log) == here.records
+    assert any(isinstance(record, Connections) for record in log)
+
+
+def burn(node):
+    """Its first attempt never comes to an end, and nothing else does."""
+
+    def start(attempt):
+        while True:
+            pass
+
+    node.delivery.start = start
+
+
+def spin(node):
+    """It sets a timer for now, for ever."""
+
+    def again():
+        node.clock.call_at(node.clock.now(), again)
+
+    node.clock.call_at(node.clock.now() + 1000, again)
+
+
+@pytest.mark.parametrize("plant", [burn, spin])
+def test_a_node_that_runs_without_end_is_cut_short_and_named(plant, monkeypatch):
+    monkeypatch.setitem(defects.DEFECTS, plant.__name__, Defect(plant, frozenset({"stopped"})))
+    day = load("calm", ["length_s=3", "warmup_s=1", "load.rate_per_s=20", "wall_limit_s=4"])
+    result = play(day, 1, defect=plant.__name__)
+    assert result.ended.startswith("stuck: n") and result.rules["stopped"] == 1
+    assert result.breaches[0].node in result.ended
+
+
+def test_a_day_longer_than_its_limit_is_cut_short():
+    day = msgspec.structs.replace(load("calm"), length_s=3600.0, wall_limit_s=1.0)
+    result = play(day, 1)
+    assert "stuck" in result.ended and result.wall_s < 60
+
+
+@pytest.mark.parametrize("name", sorted(names()))
+def test_every_shipped_day_is_sound_as_it_stands_and_says_what_it_is(name):
+    day = load(name)
+    assert day.name == name and day.about and day.expect.goodput_at_least is not None
+
+
+@pytest.mark.parametrize(("words", "said"), [({"backend": "moon"}, "virtual"), ({"defect": "none"}, "held")])
+def test_what_there_is_none_of_is_refused(words, said):
+    with pytest.raises(ValueError, match=said):
+        play(load("calm"), 1, **words)
