--- a/benchmarks/lab_backends.py
+++ b/benchmarks/lab_backends.py
@@ -1,7 +1,7 @@
 """The same days in virtual time and on loopback: how far do they differ?
 
 Run from the repository's root on a quiet machine: python -m benchmarks.lab_backends [DAY ...] [--seeds 2]
-A day on loopback takes as long as the day is. `late` is how late the lab's own timers fired there (ms, p99 and
+A day on loopback takes as long as it is. `late` is how late the lab's own timers fired there (ms, p99 and
 most); with more than a few the machine was too busy to judge by.
 """
 
--- a/flintridge/cli/lab_compare.py
+++ b/flintridge/cli/lab_compare.py
@@ -56,7 +56,7 @@
     \b
     Examples:
       flintridge lab compare calm --b load.rate_per_s=300
-      flintridge lab compare calm crash --seeds 20 --report crash.html
+      flintridge lab compare calm zone-loss --seeds 20 --report loss.html
       flintridge lab compare calm --tree ../old-checkout
     """
     claim([json_file, report], force)
--- a/flintridge/lab/report/tables.py
+++ b/flintridge/lab/report/tables.py
@@ -70,6 +70,8 @@
         table.add_row(name, value)
     if result.ended != "whole":
         table.add_row("[bold red]cut short", f"[bold red]{escape(result.ended)}")
+    for trouble in result.troubles:  # of the lab itself, in real time
+        table.add_row("[yellow]trouble", f"[yellow]{escape(trouble)}")
     return table
 
 
--- a/flintridge/lab/scenario/model.py
+++ b/flintridge/lab/scenario/model.py
@@ -13,7 +13,7 @@
 Positive = Annotated[float, Meta(gt=0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
-Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$(?!\n)")]
 # Of any length to msgspec: 0.20 to 0.23 read a tuple of fixed length beside a bounded number wrongly.
 Span = Amount | Annotated[tuple[Amount, ...], Meta(min_length=2, max_length=2)]
 
