--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -22,7 +22,7 @@
     loop.add_signal_handler(signal.SIGHUP, log.event, "reload_early")
     node = Node(config, SystemClock(loop), log)
     loop.add_signal_handler(signal.SIGHUP, _reload, node)
-    loop.add_signal_handler(signal.SIGUSR1, lambda: log.event("counters", **node.counters.snapshot()))
+    loop.add_signal_handler(signal.SIGUSR1, node.tell_counters)
     await node.start()
     await ending.wait()
     await node.leave()
--- a/flintridge/cli/lab_run.py
+++ b/flintridge/cli/lab_run.py
@@ -22,6 +22,11 @@
     type=click.Path(path_type=Path),
     help="Write all that was seen to this file, a JSON line each.",
 )
+@click.option(
+    "--trace",
+    type=click.Path(path_type=Path),
+    help="Write the requests to this file, for another day to replay (load.trace).",
+)
 @click.option("--defect", hidden=True, help="Plant a defect of flintridge.lab.defects in every node.")
 @force_option
 def command(
@@ -32,6 +37,7 @@
     json_file: Path | None,
     report: Path | None,
     events: Path | None,
+    trace: Path | None,
     defect: str | None,
     force: bool,
 ) -> None:
@@ -45,7 +51,7 @@
       flintridge lab run mine.toml --seed 3 --report day.html
       flintridge lab run calm --set load.rate_per_s=300 --json day.json --events day.jsonl
     """
-    claim([json_file, report, events], force)
+    claim([json_file, report, events, trace], force)
     from flintridge.lab.experiment import output
     from flintridge.lab.experiment.jobs import Job, JobFailed
     from flintridge.lab.experiment.pool import run_one
@@ -56,17 +62,30 @@
 
     day = load(scenario, list(overrides))
     _known(defect, backend)
-    # To a file beside it first: a run that ends early must not leave half a log under the name asked for.
-    part = None if events is None else events.with_name(f".{events.name}.part")
-    log = None if part is None else str(part.resolve())
-    outcome = run_one(Job(scenario=day, seed=seed, backend=backend, defect=defect, events=log))
+    # To files beside them first: a run that ends early must not leave half a one under the name asked for.
+    asked = {"events": events, "trace": trace}
+    parts = {name: path.with_name(f".{path.name}.part") for name, path in asked.items() if path is not None}
+    for part in parts.values():
+        part.unlink(missing_ok=True)
+    words = {name: str(part.resolve()) for name, part in parts.items()}
+    outcome = run_one(
+        Job(
+            scenario=day,
+            seed=seed,
+            backend=backend,
+            defect=defect,
+            events=words.get("events"),
+            trace=words.get("trace"),
+        )
+    )
     if isinstance(outcome, JobFailed):
-        if part is not None:
+        for part in parts.values():
             part.unlink(missing_ok=True)
         tables.print_failure(outcome)
         sys.exit(BROKEN)
-    if part is not None and events is not None and part.exists():
-        part.replace(events)
+    for name, part in parts.items():
+        if part.exists():
+            part.replace(asked[name] or part)
     if json_file is not None:
         output.write(json_file, output.json_text(as_json(outcome)))
     if report is not None:
--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -134,6 +134,7 @@
         self._lives: dict[str, Life] = {}
         self._ended: dict[str, asyncio.Event] = {}
         self._counters: dict[str, Counter[str]] = {}
+        self._histograms: dict[str, dict[str, dict[str, float]]] = {}
         self._sampler = fabric.clock.call_later(SAMPLE_MS, self._sample)
 
     def node(self, name: str) -> Node | None:
@@ -240,7 +241,12 @@
                 self._count(node)
         busy = [self._fabric.network.host(node).busy_s for node in self._lives]
         counters = {node: dict(sorted(seen.items())) for node, seen in self._counters.items()}
-        return {"node_cpu_s": sum(busy), "node_memory_mb": 0.0, "counters": counters}
+        return {
+            "node_cpu_s": sum(busy),
+            "node_memory_mb": 0.0,
+            "counters": counters,
+            "histograms": self._histograms,
+        }
 
     def _sample(self) -> None:
         self._sampler = self._fabric.clock.call_later(SAMPLE_MS, self._sample)
@@ -267,6 +273,7 @@
         seen = self._counters.setdefault(node, Counter())
         seen.update(life.counters.snapshot())
         seen.update({f"log_{kind}": count for kind, count in life.log.kinds.items()})
+        self._histograms[node] = life.counters.histograms()
         life.counters = Counters()
         life.log.kinds.clear()
 
--- a/flintridge/lab/experiment/jobs.py
+++ b/flintridge/lab/experiment/jobs.py
@@ -23,6 +23,7 @@
     backend: str = "virtual"
     defect: str | None = None
     events: str | None = None
+    trace: str | None = None
     tree: str = ""
     limit_s: float | None = None
     runner: str = PLAY
--- a/flintridge/lab/experiment/worker.py
+++ b/flintridge/lab/experiment/worker.py
@@ -100,8 +100,8 @@
         module, _, name = job.runner.partition(":")
         run = getattr(importlib.import_module(module), name)
         asked: dict[str, Any] = {"backend": job.backend, "defect": job.defect}
-        events = None if job.events is None else Path(job.events)
-        return Reply(result=run(job.scenario, job.seed, **asked, events=events))
+        asked |= {name: Path(path) for name in ("events", "trace") if (path := getattr(job, name))}
+        return Reply(result=run(job.scenario, job.seed, **asked))
     except Exception as error:
         last = traceback.format_exception_only(error)[-1].strip()
         return Reply(error=last, trace=traceback.format_exc())
--- a/flintridge/lab/result.py
+++ b/flintridge/lab/result.py
@@ -81,6 +81,7 @@
     windows: list[Window] = []
     faults: list[tuple[str, float, float]] = []  # name, from, to (s)
     counters: dict[str, dict[str, int]] = {}  # by node, for reading only: the judge never sees them
+    histograms: dict[str, dict[str, dict[str, float]]] = {}  # by node and name, of its last process
     ended: str = "whole"  # whole, or why it was cut short: wall limit, stuck node, dead process
     troubles: list[str] = []  # of the lab itself: why a run in real time cannot be judged by
     lateness_ms: dict[str, float] = {}  # of the lab's own timers, in real time
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,8 @@
 from flintridge.lab.faults.timeline import Timeline
 from flintridge.lab.judge.verdict import judge
 from flintridge.lab.load.driver import Load
+from flintridge.lab.load.requests import Drawn
+from flintridge.lab.load.trace import write as write_trace
 from flintridge.lab.records import Log, NodeSaid
 from flintridge.lab.result import Result
 from flintridge.lab.scenario.model import Scenario, Span
@@ -37,11 +40,13 @@
     backend: str = "virtual",
     defect: str | None = None,
     events: Path | None = None,
+    trace: Path | None = None,
 ) -> Result:
     """Play a day and judge it.
 
     `defect` names one of `flintridge.lab.defects.DEFECTS` to plant in every node (virtual only); `events` is
-    a file for the log, one JSON line a record. Raises ValueError for a backend or defect that there is none
+    a file for the log, one JSON line a record; `trace` one for the requests, to be replayed by another day
+    (`load.trace`). Raises ValueError for a backend or defect that there is none
     of, OSError where the log cannot be written.
     """
     if backend not in BACKENDS:
@@ -50,14 +55,18 @@
         raise ValueError(f"defect: {defect!r}: one of {', '.join(sorted(DEFECTS))}, on the virtual backend")
     began, cpu = time.perf_counter(), time.process_time()
     log = Log()
+    requests: list[Drawn] = []
+    playing = day if trace is None else partial(day, on_request=requests.append)
     if backend == "virtual":
-        ended, usage = _play_virtual(scenario, seed, log, defect)
+        ended, usage = _play_virtual(scenario, seed, log, defect, playing)
     else:
         from flintridge.lab.backend.loopback import play_loopback
 
-        ended, usage = play_loopback(scenario, seed, log, day)
+        ended, usage = play_loopback(scenario, seed, log, playing)
     if events is not None:
         log.write(events)
+    if trace is not None:
+        write_trace(trace, requests)
     with _no_collections():
         result = judge(log, scenario, seed, backend)
     result.ended = ended
@@ -69,6 +78,7 @@
     result.node_memory_mb = usage["node_memory_mb"]
     result.peak_memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     result.counters = usage["counters"]
+    result.histograms = usage.get("histograms", {})
     result.troubles = usage.get("troubles", [])
     result.lateness_ms = usage.get("lateness", {})
     result.expectation = _unmet(scenario, result)
@@ -82,12 +92,13 @@
     fabric: Fabric,
     truth: Truth,
     make_nodes: Callable[[World], NodeRunner],
+    on_request: Callable[[Drawn], object] | None = None,
 ) -> tuple[NodeRunner, World]:
     """The whole day on a fabric; the nodes still run at its end, for whoever closes them."""
     world = World(scenario, seeds, log, fabric, truth)
     await world.open()
     runner = make_nodes(world)
-    load = Load(scenario, seeds, log, truth, fabric, world.nodes, world.node_zones)
+    load = Load(scenario, seeds, log, truth, fabric, world.nodes, world.node_zones, on_request=on_request)
     await load.start()
     runner = Announced(runner, load)
     for node in world.nodes:
@@ -147,7 +158,9 @@
         return self._runner.usage()
 
 
-def _play_virtual(scenario: Scenario, seed: int, log: Log, defect: str | None) -> tuple[str, dict[str, Any]]:
+def _play_virtual(
+    scenario: Scenario, seed: int, log: Log, defect: str | None, playing: Callable[..., Any]
+) -> tuple[str, dict[str, Any]]:
     seeds = Seeds(seed)
     links = LinkTable(scenario.links, seeds)
     loop = VirtualLoop(Network(links.link))
@@ -166,7 +179,9 @@
 
     ended = "whole"
     try:
-        loop.run(day(scenario, seeds, log, fabric, Truth(), make_nodes), wall_limit_s=scenario.wall_limit_s)
+        loop.run(
+            playing(scenario, seeds, log, fabric, Truth(), make_nodes), wall_limit_s=scenario.wall_limit_s
+        )
     except Stuck as stuck:
         ended = f"stuck: {stuck}"
         if stuck.host in {name for name in (f"n{i}" for i in range(scenario.nodes.count))}:
--- a/flintridge/lab/scenario/load.py
+++ b/flintridge/lab/scenario/load.py
@@ -81,8 +81,16 @@
         return scenario, []
     path = Path(trace).absolute()
     load_part = msgspec.structs.replace(scenario.load, trace=str(path))
-    missing = [] if path.is_file() else [f"load.trace: there is no file {str(path)!r}"]
-    return msgspec.structs.replace(scenario, load=load_part), missing
+    scenario = msgspec.structs.replace(scenario, load=load_part)
+    if not path.is_file():
+        return scenario, [f"load.trace: there is no file {str(path)!r}"]
+    from flintridge.lab.load.trace import read  # of use to few scenarios
+
+    try:
+        read(path, scenario)
+    except ValueError as error:
+        return scenario, [f"load.trace: {error}"]
+    return scenario, []
 
 
 def _every(value: Any) -> Any:
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -170,21 +170,27 @@
     async def _fetch(self) -> None:
         call = _Call(self.discovery)
         try:
-            text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
-            self._told(text)
+            self._told(await self._whole(call))
         except (OSError, ValueError, OutOfTime, h11.RemoteProtocolError) as error:
             if asyncio.current_task() is self._fetching:
                 self._failed(error)
         finally:
             call.close()
 
+    async def _whole(self, call: "_Call") -> bytes:
+        """The whole list, which discovery need not be waited for; how long it took is kept."""
+        began = self._clock.now()
+        text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
+        self._counters.observe("list_ms", self._clock.now() - began)
+        return text
+
     async def _watch(self) -> None:
         call = _Call(self.discovery)
         try:
             while True:
                 began = self._clock.now()
                 if self._anew:
-                    text = await within(self._clock, LIST_TIME, call.get("/api/targets"))
+                    text = await self._whole(call)
                 else:
                     target = f"/api/targets?after={self._transports.revision}&wait_ms={WAIT:.0f}"
                     text = await within(self._clock, WAIT + ANSWER_TIME, call.get(target))
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -106,9 +106,15 @@
         self.log.event("leaving")
         await self.side.leave()
         await self.close()
-        self.log.event("counters", **self.counters.snapshot())
+        self.tell_counters()
         self.log.event("left")
 
+    def tell_counters(self) -> None:
+        """Log what was counted, and the histograms where there are any."""
+        self.log.event("counters", **self.counters.snapshot())
+        if histograms := self.counters.histograms():
+            self.log.event("histograms", **histograms)
+
     async def close(self) -> None:
         """End now: nothing stays open or running. A client with a request open sees its connection end."""
         if self._closed:
