Accept few connections in one go: a burst took every descriptor and stopped accepting for a second

Lines at fault: the listener's backlog of 512 is also what asyncio accepts in one go, each a descriptor, before any can be turned away; refused clients come back at once, so the refusals made bursts larger. Out of descriptors, asyncio accepts nothing for a second. Besides, SenderConnection counted commands behind a fatal one as still to be taken, so a bad client could not make place while it was parted from.

Change: asyncio is told 4, and the kernel's queue deepened to 512 on the same socket; what is behind a fatal command is not waited for.

--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from collections import deque
 
 from flintridge.api import Settings
@@ -22,9 +24,11 @@
 BAD_COMMANDS = 4  # on one connection; it is closed upon the last of them
 PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
 PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
-PARTINGS = (
-    8  # connections beyond the room that are read past before they are closed, of the spare descriptors
-)
+PARTINGS = 8  # connections beyond the room, of the spare descriptors, that are read past before they end
+# In one go asyncio accepts as many as it is told to let wait, before any of them can be turned away. Guards
+# the spare descriptors against a burst: out of them it accepts nothing for a second, and says so as an error.
+ACCEPTS = 4
+QUEUED = 512  # what may really wait, in the kernel
 LINGER = 400.0  # after SIGTERM, until which new connections keep coming and idle ones stay open
 LAST_BYTES = 1_000.0  # at the end, for answers that clients are still reading
 SERVING = 700.0  # after SIGTERM, until which what arrives is served
@@ -122,6 +126,7 @@
                 self._taking = True
                 for command in commands:
                     if not self._take(command):
+                        self._taking = False  # what is behind it is not taken: it may make place
                         await self._finish()
                         return
                     await self._room()
@@ -249,7 +254,11 @@
 
     async def listen(self, address: Address) -> int:
         """Open the listener; the port."""
-        self._server = await asyncio.start_server(self._accepted, address.host, address.port, backlog=512)
+        self._server = await asyncio.start_server(self._accepted, address.host, address.port, backlog=ACCEPTS)
+        for listener in self._server.sockets:
+            if (number := listener.fileno()) >= 0:
+                with socket.socket(fileno=os.dup(number)) as same:
+                    same.listen(QUEUED)
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
