Write nothing to a connection that is parted from, and give the lab's nodes a limit of descriptors

Seen: with a limit of descriptors in virtual time, new, 400 bad clients a second and two nodes that stood still for 2 s, the nodes logged hundreds of unhandled errors.

Change: a connection that ends upon an error makes place without a further word; 4 (8) connections beyond the room are read past. In virtual time a host has at most so many connections, accepting rests for a second without room as asyncio does, and accepts as many in one go as asyncio was told; the scenarios' `sockets` bind.

The drivers' test fails without the condition.

--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -19,6 +19,7 @@
 LISTENING_PORT = 11211
 KEPT_EVENTS = 400  # of each node's own log
 SAMPLE_MS = 1000.0
+NO_CONNECTIONS = 8  # descriptors of a node that are none: listener, event loop, standard streams
 
 
 class VirtualClock:
@@ -124,13 +125,16 @@
         start_ms: Callable[[str], float],
         config_of: Callable[[str], dict[str, Any]],
         plant: Callable[[Node], object] | None = None,
+        sockets: int | None = None,
     ) -> None:
-        """`plant` is given each node right after it was put together: to plant a defect in it."""
+        """`plant` is given each node right after it was put together: to plant a defect in it. `sockets` is
+        how many descriptors a node's process may hold."""
         self._fabric = fabric
         self._log = log
         self._start_ms = start_ms
         self._config_of = config_of
         self._plant = plant
+        self._connections = None if sockets is None else sockets - NO_CONNECTIONS
         self._lives: dict[str, Life] = {}
         self._ended: dict[str, asyncio.Event] = {}
         self._counters: dict[str, Counter[str]] = {}
@@ -150,6 +154,7 @@
         host = self._fabric.network.host(node)
         if not host.alive:
             host.revive()
+        host.max_connections = self._connections
         life = self._lives[node] = Life(self._config_of(node), NodeLog(self._fabric.clock))
         self._ended[node] = asyncio.Event()
         self._say(node, "started")
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -170,11 +170,9 @@
     made: list[VirtualNodes] = []
 
     def make_nodes(world: World) -> NodeRunner:
-        made.append(
-            VirtualNodes(
-                fabric, log, lambda _: drawn(scenario.nodes.start_ms, starts), world.node_config, plant
-            )
-        )
+        start_ms = lambda _: drawn(scenario.nodes.start_ms, starts)  # noqa: E731
+        sockets = scenario.nodes.sockets
+        made.append(VirtualNodes(fabric, log, start_ms, world.node_config, plant, sockets))
         return made[0]
 
     ended = "whole"
--- a/flintridge/lab/virtual/net.py
+++ b/flintridge/lab/virtual/net.py
@@ -23,6 +23,7 @@
 State = Literal["up", "silent", "reset"]
 
 WILDCARDS = ("0.0.0.0", "::")
+ACCEPT_AGAIN_S = 1.0  # after it ran out of descriptors, as asyncio has it
 QUEUE = 512  # connections that a listening socket lets wait, at the least
 LISTENING_PORTS = 20_000  # the first port given to a listener that asks for none
 SOURCE_PORTS = 32_768  # the first port of connecting sockets
@@ -80,6 +81,7 @@
         self.endpoints: dict[StreamTransport, None] = {}
         self.datagrams: dict[DatagramTransport, None] = {}
         self.listeners: dict[Listener, None] = {}
+        self.waiting = 0  # of the endpoints: those that no code has accepted, which take no descriptor yet
         # Weak while it lives: an error that nobody fetches is told when its task goes, as on any loop.
         self._tasks: list[weakref.ref[asyncio.Task[Any]]] = []
         self._prune_at = 64
@@ -141,6 +143,9 @@
         self.name = name
         self.busy_s = 0.0  # real seconds that its handles took
         self.silent = False  # it vanished: what is sent to it is lost
+        # Connections that its process may hold, as its limit of descriptors has it; None: any number. Beyond
+        # it connecting fails, and accepting too, which asyncio then leaves for a second.
+        self.max_connections: int | None = None
         self._ip = LOOPBACK
         self._process = Process(self)
 
@@ -170,9 +175,15 @@
         """Sockets: those that connect or wait to be accepted, too."""
         return len(self._process.endpoints)
 
+    @property
+    def full(self) -> bool:
+        """Whether no descriptor is left for another connection."""
+        most, process = self.max_connections, self._process
+        return most is not None and len(process.endpoints) - process.waiting >= most
+
     def peers(self) -> list[str]:
-        """The host at the other end of each open connection, "" for one that nobody answers."""
-        ends = self._process.endpoints
+        """The host at the other end of each connection that takes a descriptor, "" where nobody answers."""
+        ends = [end for end in self._process.endpoints if end.made or end.connected is not None]
         return ["" if end.peer_host is None else end.peer_host.name for end in ends]
 
     @property
@@ -383,6 +394,8 @@
         address = (normal(name), int(port))
         loop, process = self.loop, self._process_now()
         host = process.host
+        if host.full:
+            raise OSError(errno.EMFILE, "Too many open files")
         sockname = (host.ip, self._source_port(host.ip))
         client = StreamTransport(loop, self, process, copy_context(), sockname, address)
         client.connected = loop.create_future()
@@ -418,7 +431,7 @@
                 self._loop._kernel_at(self._loop._now + way, client._arrive_refusal)
             return
         # A program may deepen the kernel's queue past what asyncio is told, which cannot be seen here.
-        if listener.pending > max(listener.backlog, QUEUE):
+        if len(listener.waiting) > max(listener.backlog, QUEUE):
             return  # as Linux does: a full queue drops what comes
         context = listener.context.copy()
         server = StreamTransport(
@@ -429,8 +442,7 @@
         server.out_link = back
         server.server = listener.server
         listener.process.endpoints[server] = None
-        listener.pending += 1
-        self._loop.call_soon(listener.accept, server, context=context)
+        listener.arrived(server)
         server._signal(client._arrive_syn_ack)
 
     def _listen(
@@ -493,12 +505,51 @@
         self.context = copy_context()
         self.factory = factory
         self.backlog = backlog
-        self.pending = 0  # connections that the code has not accepted yet
+        self.waiting: deque[StreamTransport] = deque()  # connections that the code has not accepted yet
         self.serving = False
-
-    def accept(self, endpoint: StreamTransport) -> None:
-        self.pending -= 1
-        if not self.serving:
+        self._queued = self._resting = False
+
+    def arrived(self, endpoint: StreamTransport) -> None:
+        """A connection is there to be accepted."""
+        self.waiting.append(endpoint)
+        self.process.waiting += 1
+        self._queue()
+
+    def _queue(self) -> None:
+        if not self._queued and not self._resting:
+            self._queued = True
+            self.server._loop.call_soon(self._accept_some, context=self.context)
+
+    def _accept_some(self) -> None:
+        """In one go as many as the backlog that asyncio was told, as its loops do."""
+        self._queued = False
+        for _ in range(max(1, self.backlog)):
+            if not self.waiting:
+                return
+            if self.serving and self.process.host.full:
+                self._rest()
+                return
+            endpoint = self.waiting.popleft()
+            self.process.waiting -= 1
+            endpoint.context.run(self._accept, endpoint)
+        if self.waiting:
+            self._queue()
+
+    def _rest(self) -> None:
+        loop = self.server._loop
+        self._resting = True
+        error = OSError(errno.EMFILE, "Too many open files")
+        said = {"message": "socket.accept() out of system resource", "exception": error}
+        loop.call_exception_handler(said)
+        loop.call_later(ACCEPT_AGAIN_S, self._go_on, context=self.context)
+
+    def _go_on(self) -> None:
+        self._resting = False
+        if self.waiting:
+            self._queue()
+
+    def _accept(self, endpoint: StreamTransport) -> None:
+        if endpoint.closed or not self.serving:
             endpoint._drop()
             return
         try:
@@ -515,6 +566,9 @@
         if network._listeners.get(self.key) is self:
             del network._listeners[self.key]
         self.process.listeners.pop(self, None)
+        if self.waiting:
+            self._resting = False
+            self._queue()  # the kernel resets what nobody will accept
 
 
 class VirtualServer(asyncio.AbstractServer):
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -24,7 +24,7 @@
 BAD_COMMANDS = 4  # on one connection; it is closed upon the last of them
 PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
 PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
-PARTINGS = 8  # connections beyond the room, of the spare descriptors, that are read past before they end
+PARTINGS = 4  # connections beyond the room, of the spare descriptors, that are read past before they end
 # In one go asyncio accepts as many as it is told to let wait, before any of them can be turned away. Guards
 # the spare descriptors against a burst: out of them it accepts nothing for a second, and says so as an error.
 ACCEPTS = 4
@@ -206,7 +206,8 @@
     def make_place(self) -> None:
         """Close it for another one. One that never asked is refused, as its first request may be coming; a
         client whose connection had served sends its next one again."""
-        if not self.asked:
+        # One that is parted from was told its error, and nothing more may be written to it.
+        if not self.asked and not self._ending and not self._writer.is_closing():
             self._writer.writelines(memcache.defer_parts(0.0))
         self.close()
 
--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -1,6 +1,7 @@
 """The virtual loop and network: alone, and held against asyncio on real sockets."""
 
 import asyncio
+import errno
 import os
 import random
 import signal
@@ -540,6 +541,35 @@
     world.play(test)
 
 
+def test_a_host_out_of_descriptors_connects_nowhere_and_accepts_nothing_for_a_second():
+    world, said = World(), []
+
+    async def echo(reader, writer):
+        while data := await reader.read(READER):
+            writer.write(data)
+        writer.close()
+
+    async def test(streams):
+        loop = asyncio.get_running_loop()
+        world.server.call(loop.set_exception_handler, lambda _, told: said.append(told["exception"].errno))
+        await world.server.run(asyncio.start_server(echo, "10.0.0.1", 81))
+        world.server.max_connections = 3  # one is open
+        opened = [await world.client.run(asyncio.open_connection("10.0.0.1", 81)) for _ in range(4)]
+        asked = [world.client.run(world.ask(pair)) for pair in opened]
+        assert [await ends_of(each) for each in asked[:2]] == [b"ask"] * 2
+        assert [await ends_of(each) for each in asked[2:]] == ["pending"] * 2
+        assert set(said) == {errno.EMFILE} and world.server.full
+        with pytest.raises(OSError, match="Too many open files"):
+            await world.server.run(asyncio.open_connection("10.0.0.1", 80))
+        for _, writer in opened[:2]:
+            writer.close()
+        begun = loop.time()
+        assert [await ends_of(each) for each in asked[2:]] == [b"ask"] * 2
+        assert loop.time() - begun <= 1.1
+
+    world.play(test)
+
+
 def test_a_paused_host_takes_connections_and_bytes_and_answers_when_it_goes_on():
     world = World(window=1000)
 
--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -533,6 +533,23 @@
     play(test)
 
 
+def test_a_connection_that_is_parted_from_makes_place_without_a_further_word(play):
+    """Guards the new one: an error in making place left it open, owned by nobody, one descriptor less."""
+
+    async def test():
+        async with Side() as s:
+            parted = [await s.client(b"ms k x Oa\r\n") for _ in range(2)]
+            for reader, _ in parted:
+                assert await reader.readline() == b"CLIENT_ERROR bad data length\r\n"
+            _, asking = await s.client(READ % b"r1")
+            await until(lambda: s.counters["requests"] == 1)
+            assert s.counters["connections_made_place"] == 1 and len(s.side._connections) == 2
+            assert sorted([await reader.read() for reader, _ in parted]) == [b"", b""]
+            asking.close()
+
+    play(test)
+
+
 def test_a_connection_that_came_just_now_does_not_make_place_for_the_next(play):
     """Guards clients against closing one another: the place was full of idle ones that had asked."""
 
