--- a/tests/test_lab_found.py
+++ b/tests/test_lab_found.py
@@ -1,8 +1,8 @@
 """Days that the search kept, shrunk to the least that still went wrong: what they found is mended.
 
-Each file of `tests/found` is an ordinary scenario. Its name is RULE_WORDS-SEED.toml (`goodput` for one that
-fell behind, which then expects more), and its `about` says what was wrong. To play one by hand:
-`flintridge lab run tests/found/FILE --seed SEED`.
+Each file of `tests/kept_days` is an ordinary scenario. Its name is RULE_WORDS-SEED.toml (`goodput` for one
+that fell behind, which then expects more), and its `about` says what was wrong. To play one by hand:
+`flintridge lab run tests/kept_days/FILE --seed SEED`.
 """
 
 from pathlib import Path
@@ -12,7 +12,7 @@
 from flintridge.lab.run import play
 from flintridge.lab.scenario.load import load
 
-FOUND = sorted((Path(__file__).parent / "found").glob("*.toml"))
+FOUND = sorted((Path(__file__).parent / "kept_days").glob("*.toml"))
 
 
 @pytest.mark.parametrize("path", FOUND, ids=lambda path: path.stem)
