Judge connections that no attempt can have needed as a leak, also where descriptors end its growth

Change: the rule `leak` adds up the most attempts a node ever had out at each server; more than twice that and 50 connections to servers is a leak.

--- a/flintridge/lab/judge/rules/process.py
+++ b/flintridge/lab/judge/rules/process.py
@@ -1,6 +1,7 @@
 """Rules on a node's process: it ends only when told to, answers bad clients in kind, and leaks nothing."""
 
 import math
+from itertools import accumulate
 
 from flintridge.lab.judge.facts import Day
 from flintridge.lab.judge.findings import Findings
@@ -10,6 +11,8 @@
 RULES = ("stopped", "leak", "bad_clients", "unready")
 
 LAST_MS = 250.0  # for writing out the last answers, and for the end of the process
+IDLE = 2.0  # times the connections that would do, and
+IDLE_BY = 50  # more; attempts that never got a connection leave no record
 CLIMB = 1.5  # times the most of the day's first quarter, and
 CLIMB_BY = 50  # more connections in its last one
 QUARTERS = 4
@@ -61,7 +64,7 @@
         # While links are hit servers may not see that a node has closed: these count for nothing.
         idle = 1000 * _longest_idle(day)
         clear = [s for s in samples if not day.links_hit(s.t - idle, s.t)]
-        if not _over(day, node, clear, findings):
+        if not _over(day, node, clear, findings) and not _idle(day, node, clear, findings):
             _climbs(day, node, clear, findings)
 
 
@@ -83,6 +86,35 @@
     return False
 
 
+def _idle(day: Day, node: str, samples: list[Connections], findings: Findings) -> bool:
+    """Connections to servers that no attempt can have needed: a node opens one where all it has are in use.
+
+    Also where its descriptors ended the growth before it could be seen as one.
+    """
+    needed = _needed(day, node)
+    for sample in samples if needed else ():  # without any attempt nothing is known
+        if sample.server_side > IDLE * needed + IDLE_BY:
+            text = (
+                f"{node} holds {sample.server_side} connections to servers, where {needed} would do for "
+                f"the most attempts that it ever had out at each"
+            )
+            findings.add("leak", sample.t, text, [sample], node=node)
+            return True
+    return False
+
+
+def _needed(day: Day, node: str) -> int:
+    """The most attempts that a node had out at once at each server, added up."""
+    by_server: dict[str, list[tuple[float, int]]] = {}
+    for sent in day.sent.values():
+        record = sent.record
+        if record.node == node:
+            ended = sent.ended
+            over = record.t + record.wait_ms if ended is None else ended
+            by_server.setdefault(record.server, []).extend([(record.began, 1), (over, -1)])
+    return sum(max(accumulate(change for _, change in sorted(events))) for events in by_server.values())
+
+
 def _climbs(day: Day, node: str, samples: list[Connections], findings: Findings) -> None:
     """Connections to servers that grow through all of the day, though what is out at them does not."""
     length = 1000 * day.scenario.length_s / QUARTERS
--- a/tests/test_lab_found.py
+++ b/tests/test_lab_found.py
@@ -15,6 +15,11 @@
 FOUND = sorted((Path(__file__).parent / "kept_days").glob("*.toml"))
 
 
+def test_days_are_kept():
+    """Guards against a folder that is not in the checkout: no day would be played, and nothing would fail."""
+    assert len(FOUND) >= 4
+
+
 @pytest.mark.parametrize("path", FOUND, ids=lambda path: path.stem)
 def test_what_was_found_stays_mended(path):
     rule, _, seed = path.stem.rpartition("-")
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -266,6 +266,11 @@
     assert broken(held_at([*range(40, 240, 20), *[240] * 10]), nodes=nodes) == {}
     assert broken(held_at([500] * 20), nodes={"sockets": 600}) == {}
     assert broken(held_at([500] * 20), nodes={"sockets": 500}) == {"leak": 1}
+    # Ten would do for what was ever out: where descriptors end, a leak does not climb on.
+    few = [x for i in range(10) for x in sent(1000 + i / 10, f"f{i}", conn=i, wait_ms=9000.0)]
+    few += [asked(990, f"f{i}", conn=i) for i in range(10)]
+    assert broken(sorted([*held_at([238] * 20), *few], key=lambda x: x.t), nodes=nodes).get("leak") == 1
+    assert "leak" not in broken(sorted([*held_at([70] * 20), *few], key=lambda x: x.t), nodes=nodes)
     # More attempts are out at once as well: that is load.
     load = [x for i in range(300) for x in sent(16_000 + i / 10, f"u{i}", conn=i, wait_ms=2000.0)]
     assert broken([*held_at(range(40, 440, 20)), *load], nodes=nodes) == {}
