Join what cache servers and origin, and the lab's commands, had twice

Change: ServerConnection, ServerHost and Offered serve both; kinds of bad clients come from the scenario's format; two planted defects and the commands' file options share one piece.

--- a/flintridge/cli/lab_search.py
+++ b/flintridge/cli/lab_search.py
@@ -6,7 +6,7 @@
 import click
 
 from flintridge.cli.exits import BROKEN, Wrong
-from flintridge.cli.lab_shared import claim, jobs_option, report_option
+from flintridge.cli.lab_shared import claim, jobs_option, path_option, report_option
 from flintridge.cli.options import backend_option, force_option, seed_option
 
 
@@ -15,7 +15,7 @@
     "--runs", type=click.IntRange(1, 1_000_000), default=100, show_default=True, help="Days to draw."
 )
 @seed_option
-@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for what is found.")
+@path_option("--out", told="Folder for what is found.", required=True)
 @click.option(
     "--minutes", type=click.FloatRange(min=0, min_open=True), help="Begin no more days after so long."
 )
--- a/flintridge/cli/lab_shared.py
+++ b/flintridge/cli/lab_shared.py
@@ -11,6 +11,11 @@
 F = TypeVar("F", bound=Callable[..., Any])
 
 
+def path_option(*names: str, told: str, required: bool = False) -> Callable[[F], F]:
+    """An option that names a file or a folder, as a Path or None."""
+    return click.option(*names, type=click.Path(path_type=Path), required=required, help=told)
+
+
 def jobs_option(call: F) -> F:
     """--jobs N, as `workers`."""
     told = "Worker processes at once.  [default: one a core]"
@@ -27,13 +32,13 @@
 def json_option(call: F) -> F:
     """--json FILE, as `json_file`."""
     told = "Write the figures to this file as JSON."
-    return click.option("--json", "json_file", type=click.Path(path_type=Path), help=told)(call)
+    return path_option("--json", "json_file", told=told)(call)
 
 
 def report_option(call: F) -> F:
     """--report FILE, as `report`."""
     told = "Write a report to this HTML file, which needs nothing beside it."
-    return click.option("--report", type=click.Path(path_type=Path), help=told)(call)
+    return path_option("--report", told=told)(call)
 
 
 def claim(paths: list[Path | None], force: bool) -> None:
--- a/flintridge/cli/lab_shrink.py
+++ b/flintridge/cli/lab_shrink.py
@@ -5,7 +5,7 @@
 import click
 
 from flintridge.cli.exits import Wrong
-from flintridge.cli.lab_shared import claim, jobs_option, json_option
+from flintridge.cli.lab_shared import claim, jobs_option, json_option, path_option
 from flintridge.cli.options import backend_option, force_option, scenario_argument, seed_option, set_option
 
 
@@ -20,8 +20,8 @@
     "--budget", type=click.IntRange(2, 100_000), default=500, show_default=True, help="Runs at most."
 )
 @click.option("--tries", type=click.IntRange(1, 100), default=3, show_default=True, help="Seeds a candidate.")
-@click.option("--out", type=click.Path(path_type=Path), required=True, help="File for the scenario found.")
-@click.option("--log", type=click.Path(path_type=Path), help="Write every step to this file.")
+@path_option("--out", told="File for the scenario found.", required=True)
+@path_option("--log", told="Write every step to this file.")
 @click.option("--limit", "limit_s", type=click.FloatRange(min=1), help="Seconds that a run may take.")
 @backend_option
 @jobs_option
--- a/flintridge/lab/defects/planted.py
+++ b/flintridge/lab/defects/planted.py
@@ -178,50 +178,34 @@
 
 def keyed_write_twice_past_window(node: Node) -> None:
     """A keyed write without an answer is sent again, but only once its window is over."""
-    balancer = balancer_of(node)
-    patience, may_send = balancer.patience, balancer.may_send
-
-    def past_window(request: Held, gate: Gate) -> int:
-        keyed = request.cls.effect is api.Effect.KEYED and not request.attempts[1:]
-        return request.cls.window_ns + to_ns(100.0) if keyed else patience(request, gate)
-
-    def regardless(request: Held, server: str) -> bool:
-        return _regardless(balancer, request, may_send, server, api.Effect.KEYED)
-
-    put(balancer, "patience", past_window)
-    put(balancer, "may_send", regardless)
+    _sent_again(node, api.Effect.KEYED, lambda request: request.cls.window_ns + to_ns(100.0))
 
 
 def retry_of_what_may_have_run(node: Node) -> None:
     """A request of an unsafe class that has no answer after 100 ms is sent once more."""
+    _sent_again(node, api.Effect.UNSAFE, lambda _: to_ns(100.0))
+
+
+def _sent_again(node: Node, effect: api.Effect, patience_ns: Callable[[Held], int]) -> None:
+    """The first attempt of what has this effect is awaited for `patience_ns`, and then may_send's word on the
+    effect does not count: time and number still bound the attempts."""
     balancer = balancer_of(node)
     patience, may_send = balancer.patience, balancer.may_send
 
-    def short(request: Held, gate: Gate) -> int:
-        unsafe = request.cls.effect is api.Effect.UNSAFE and not request.attempts[1:]
-        return to_ns(100.0) if unsafe else patience(request, gate)
+    def impatient(request: Held, gate: Gate) -> int:
+        first = request.cls.effect is effect and not request.attempts[1:]
+        return patience_ns(request) if first else patience(request, gate)
 
     def regardless(request: Held, server: str) -> bool:
-        return _regardless(balancer, request, may_send, server, api.Effect.UNSAFE)
+        if request.cls.effect is not effect:
+            return may_send(request, server)
+        in_time = balancer.now < request.event.deadline
+        return in_time and len(request.attempts) < balancer.settings.limits.max_attempts
 
-    put(balancer, "patience", short)
+    put(balancer, "patience", impatient)
     put(balancer, "may_send", regardless)
 
 
-def _regardless(
-    balancer: Balancer,
-    request: Held,
-    may_send: Callable[[Held, str], bool],
-    server: str,
-    effect: api.Effect,
-) -> bool:
-    """`may_send` without what it says of this effect: time and number still bound the attempts."""
-    if request.cls.effect is not effect:
-        return may_send(request, server)
-    in_time = balancer.now < request.event.deadline
-    return in_time and len(request.attempts) < balancer.settings.limits.max_attempts
-
-
 def refuses_what_may_have_run(node: Node) -> None:
     """Where a failure is due, as a repeat may do harm, the client is told to come again."""
     core = node.core
--- a/flintridge/lab/load/bad.py
+++ b/flintridge/lab/load/bad.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, get_args, get_type_hints
 
 from flintridge.lab.fabric import DayClock, Fabric
 from flintridge.lab.load.answers import Answer, AnswerReader
@@ -11,20 +11,10 @@
 from flintridge.lab.load.pool import answer_record
 from flintridge.lab.load.requests import Command, Drawn, Writer, new_id
 from flintridge.lab.records import Answered, Asked, BadClient, GaveUp, Log
+from flintridge.lab.scenario import model
 from flintridge.lab.truth import Fact
 
-KINDS = (
-    "endless_line",
-    "bad_length",
-    "huge_value",
-    "unknown_class",
-    "bad_deadline",
-    "no_id",
-    "used_id",
-    "half_command",
-    "flood",
-    "silent",
-)
+KINDS: tuple[str, ...] = get_args(get_args(get_type_hints(model.BadClients)["kinds"])[0])
 OWED_MS = 3000.0
 OWED_HUGE_MS = 6000.0
 MOST = 2_000_000  # bytes that one of them sends
--- a/flintridge/lab/world/cache.py
+++ b/flintridge/lab/world/cache.py
@@ -15,6 +15,7 @@
 
 from flintridge.lab.scenario.model import Kind, Rules
 from flintridge.lab.world.draws import draw, scatter
+from flintridge.lab.world.offered import Offered
 from flintridge.lab.world.store import Store
 
 NEW, WAITING, RUNNING, ENDED = range(4)
@@ -72,7 +73,6 @@
         "_heap",
         "_lacked",
         "_offered",
-        "_offered_sum",
         "_order",
         "_pause_at",
         "_pause_ends",
@@ -161,8 +161,7 @@
             now + rng.expovariate(1.0 / (kind.pause_every_s * 1000)) if kind.pause_every_s else inf
         )
         self._pause_ends = inf
-        self._offered: deque[tuple[float, float]] = deque()  # while cold
-        self._offered_sum = 0.0
+        self._offered = Offered(rules.fall_ms)  # while cold
         # The load report
         self._busy_ms = 0.0
         self._ended = self._found = self._lacked = 0
@@ -483,12 +482,9 @@
     def _count_offered(self, now: float, cost: float) -> None:
         """A budget for every window while cold: its own capacity by then, whatever else slows it, since that
         is what the nodes are told of."""
-        offered, window = self._offered, self._rules.fall_ms
-        offered.append((now, cost))
-        self._offered_sum += cost
-        while offered[0][0] <= now - window:
-            self._offered_sum -= offered.popleft()[1]
-        if self._offered_sum > self._rules.fall_multiple * self.warm_capacity * self._ramp(now) * window:
+        rules = self._rules
+        most = rules.fall_multiple * self.warm_capacity * self._ramp(now) * rules.fall_ms
+        if self._offered.add(now, cost) > most:
             self.fallen = True
 
     # The load report
--- a/flintridge/lab/world/cache_conn.py
+++ b/flintridge/lab/world/cache_conn.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from flintridge.lab.records import Attempt, Dropped, Made, Malformed, token
+from flintridge.lab.records import token
 from flintridge.lab.world.cache import Job
 from flintridge.lab.world.check import mismatch
 from flintridge.lab.world.commands import (
@@ -20,7 +20,7 @@
     error_answer,
     stats_answer,
 )
-from flintridge.lab.world.sockets import reset
+from flintridge.lab.world.server_conn import ServerConnection
 from flintridge.lab.world.spoil import spoilt
 
 if TYPE_CHECKING:
@@ -57,53 +57,27 @@
         self.closes = closes
 
 
-class CacheConnection(asyncio.Protocol):
-    __slots__ = (
-        "_greeted",
-        "_greeting",
-        "_host",
-        "_idle",
-        "_later",
-        "_mute",
-        "_node",
-        "_number",
-        "_open",
-        "_out",
-        "_reader",
-        "_transport",
-        "_used_at",
-    )
-    _transport: asyncio.Transport
+class CacheConnection(ServerConnection):
+    __slots__ = ("_greeted", "_greeting", "_later", "_mute", "_out", "_reader")
+    _host: "CacheHost"
 
     def __init__(self, host: "CacheHost", node: str) -> None:
-        self._host = host
-        self._node = node
-        self._number = host.objects.connections.next()
+        super().__init__(host, node)
         self._reader = CommandReader()
         self._out: deque[Request | Word] = deque()  # begun, in the order of their answers
         self._later: deque[Request | Word] = deque()  # beyond PIPELINE
-        self._open = False
         self._mute = False  # nothing leaves any more, and nothing is heard
         self._greeted = host.kind.handshake_ms <= 0
         self._greeting = False  # its first request waits for the handshake
-        self._idle: asyncio.TimerHandle | None = None
-        self._used_at = 0.0
 
     # What the transport says
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        host = self._host
-        if not host.up or len(host.connections) >= host.kind.connections:
-            reset(transport)
-            return
-        self._open = True
-        host.connections[self] = None
-        self._used_at = now = host.clock.now()
-        self._idle = host.clock.call_at(now + host.kind.idle_s * 1000, self._on_idle)
-        host.model.chore(now, host.kind.handshake_ms)
-        host.settle(now)
+        super().connection_made(transport)
+        if self._open:
+            host, now = self._host, self._used_at
+            host.model.chore(now, host.kind.handshake_ms)
+            host.settle(now)
 
     def data_received(self, data: bytes) -> None:
         if not self._open or self._mute:
@@ -120,14 +94,6 @@
         self.flush(now)
         host.settle(now)
 
-    def eof_received(self) -> bool:
-        """To end its sending is how a node gives up: the connection ends with it."""
-        self._end(self._host.clock.now())
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._end(self._host.clock.now())
-
     # Commands
 
     def _take(self, now: float, command: Command) -> None:
@@ -152,24 +118,9 @@
             return
         number = host.objects.attempts.next()
         request = Request(self, number, command, fact.work_ms, now + command.wait_ms)
-        host.log.add(
-            Attempt(
-                t=now,
-                began=command.began,
-                node=self._node,
-                server=host.id,
-                origin=False,
-                conn=self._number,
-                number=number,
-                uid=uid,
-                key=command.key,
-                write=write,
-                wait_ms=command.wait_ms,
-                idem=request.idem,
-                work_ms=model.arrive(now, request),
-                digest=token(command.value) if command.value is not None else "",
-            )
-        )
+        work_ms = model.arrive(now, request)
+        digest = token(command.value) if command.value is not None else ""
+        self._log_attempt(now, command.began, request, command.wait_ms, work_ms, digest)
         if model.fallen:
             self._out.append(request)  # its end is told with that of all others
             host.fall()
@@ -208,9 +159,7 @@
         (self._later if len(self._out) >= PIPELINE else self._out).append(word)
 
     def _refuse(self, now: float, command: Command, reason: str) -> None:
-        host = self._host
-        text = f"{reason}: {command.uid or command.kind}"
-        host.log.add(Malformed(t=now, node=self._node, server=host.id, text=text))
+        self._log_malformed(now, f"{reason}: {command.uid or command.kind}")
         self._add_word(Word(error_answer(reason), command.fatal))
 
     def _report(self, now: float) -> bytes:
@@ -240,8 +189,7 @@
             if parts:
                 self._transport.write(parts[0] if len(parts) == 1 else b"".join(parts))
             if closes:
-                self._transport.close()
-                self._end(now)
+                self._close(now)
             elif self._later:
                 self._begin_more(now)
 
@@ -264,42 +212,19 @@
             answer, whole = spoilt(host.wire_rng, request.uid, answer, body)
             if not whole:
                 outcome = "spoilt"
-        host.log.add(
-            Made(
-                t=now,
-                server=host.id,
-                number=request.number,
-                uid=request.uid,
-                outcome=outcome,
-                ran=request.ran,
-                token=token(body) if body is not None and outcome == "value" else "",
-                lost=self._mute,
-            )
-        )
+        made = token(body) if body is not None and outcome == "value" else ""
+        self._log_made(now, request, outcome, made, self._mute)
         request.connection = None
         return answer
 
     # Ends
 
-    def kill(self, now: float) -> None:
-        """Reset it."""
-        if self._open:
-            reset(self._transport)
-            self._end(now)
-
-    def _end(self, now: float) -> None:
-        """No more of this connection: what was out on it has no answer any more."""
-        if not self._open:
-            return
-        self._open = False
+    def _forsake(self, now: float) -> None:
         host = self._host
-        host.connections.pop(self, None)
-        if self._idle is not None:
-            self._idle.cancel()
         for one in (*self._out, *self._later):
             if isinstance(one, Request):
                 one.connection = None
-                host.log.add(Dropped(t=now, server=host.id, number=one.number, uid=one.uid))
+                self._log_dropped(now, one)
                 if host.up:
                     host.model.cancel(now, one)
         self._out.clear()
@@ -307,27 +232,19 @@
         if host.up:
             host.settle(now)
 
+    def _is_busy(self) -> bool:
+        return bool(self._out or self._later)
+
+    def _is_mute(self) -> bool:
+        return self._mute
+
     def _is_stale(self, now: float) -> bool:
         """The fault by which something on the way forgets connections that nobody used."""
         model = self._host.model
-        if self._out or self._later or now - self._used_at <= model.stale_after_ms:
+        if self._is_busy() or now - self._used_at <= model.stale_after_ms:
             return False
         if model.stale_silent:
             self._mute = True
         else:
             self.kill(now)
         return True
-
-    def _on_idle(self) -> None:
-        host = self._host
-        if not self._open or self._mute:
-            return  # what is mute does not say goodbye either
-        now = host.clock.now()
-        until = self._used_at + host.kind.idle_s * 1000
-        if self._out or self._later:
-            until = now + host.kind.idle_s * 1000
-        if until > now:
-            self._idle = host.clock.call_at(until, self._on_idle)
-            return
-        self._transport.close()
-        self._end(now)
--- a/flintridge/lab/world/cache_host.py
+++ b/flintridge/lab/world/cache_host.py
@@ -1,9 +1,8 @@
 """A cache server on a fabric: its lives, its listeners, and the model's time."""
 
-import asyncio
 from functools import partial
 
-from flintridge.lab.fabric import Fabric, Listener
+from flintridge.lab.fabric import Fabric
 from flintridge.lab.records import Log, Ran, ServerSaid
 from flintridge.lab.scenario.model import Kind, Scenario
 from flintridge.lab.seeds import Seeds
@@ -12,10 +11,11 @@
 from flintridge.lab.world.cache_conn import CacheConnection, Request
 from flintridge.lab.world.commands import BUSY, FAILED, miss_answer, value_answer
 from flintridge.lab.world.objects import Objects
+from flintridge.lab.world.server_host import ServerHost
 from flintridge.lab.world.store import Store
 
 
-class CacheHost:
+class CacheHost(ServerHost):
     """One server, by its id as discovery lists it.
 
     `model` is of its present or last life; knobs set on it hold for later lives too. `started_at` is the
@@ -38,32 +38,22 @@
         seeds: Seeds,
         nodes: list[str],
     ) -> None:
-        self.id = id
+        idle_ms = kind.idle_s * 1000
+        probes = scenario.limits.probes
+        super().__init__(id, fabric, log, truth, objects, probes, nodes, kind.connections, idle_ms)
         self.kind = kind
         self.zone = zone
         self.cell = cell
         self.weight = weight
         self.listen_as = id
-        self.up = False
         self.started_at = 0.0
         self.started_unix = 0.0
-        self.fabric = fabric
-        self.clock = fabric.clock
-        self.log = log
-        self.truth = truth
-        self.objects = objects
-        self.probes = scenario.limits.probes
         self.wire_rng = seeds.of(f"server/{id}/wire")
-        self.connections: dict[CacheConnection, None] = {}  # a set that keeps its order
         self._rules = scenario.rules
         self._seeds = seeds
-        self._nodes = nodes
         self._machine = Machine(kind, seeds.of(f"server/{id}"))
         self._store = Store(objects, kind.memory_mb, scenario.keys.ttl_s)
         self._lives = 0
-        self._listeners: list[Listener] = []
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0
         self.model = self._new_model(cold=False)
         objects.register(id, self._store, lambda: self.up)
 
@@ -90,8 +80,7 @@
         if cold:
             self._store.clear()
         self._lives += 1
-        life = self._lives
-        long_ago = life == 1 and not cold
+        long_ago = self._lives == 1 and not cold
         self.started_at = 0.0 if long_ago else now
         self.started_unix = 0.0 if long_ago else self.clock.unix_ms(now)
         self.model = self._new_model(cold)
@@ -99,13 +88,7 @@
         self.up = True
         self._say_started()
         try:
-            for node in self._nodes:
-                factory = partial(CacheConnection, self, node)
-                listener = await self.fabric.listen(self.listen_as, node, factory)
-                if life != self._lives or not self.up:  # stopped while it was starting
-                    listener.close()
-                    return
-                self._listeners.append(listener)
+            await self._listen(self.listen_as, partial(CacheConnection, self))
         except OSError:
             self.stop()
             raise
@@ -130,13 +113,7 @@
         "fallen" are recorded by that name, anything else as stopped. Nothing happens where it is down."""
         if not self.up:
             return
-        self.up = False
-        for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._shut()
         now = self.clock.now()
         state = how if how in ("gone", "fallen") else "stopped"
         self.log.add(ServerSaid(t=now, server=self.id, state=state, zone=self.zone, cell=self.cell))
@@ -153,12 +130,6 @@
             now = self.clock.now()
             self.log.add(ServerSaid(t=now, server=self.id, state="draining", zone=self.zone, cell=self.cell))
 
-    def reset_connections(self) -> None:
-        """End all connections with a RST, as when a machine is back after its peers gave it up."""
-        now = self.clock.now()
-        for connection in list(self.connections):
-            connection.kill(now)
-
     # Time
 
     def catch_up(self) -> None:
@@ -179,18 +150,7 @@
         if model.fallen:
             self.fall()
             return
-        due = model.due()
-        # A timer that comes too early does no harm; to set each anew would cost more.
-        if due is not None and (self._timer is None or due < self._timer_at):
-            if self._timer is not None:
-                self._timer.cancel()
-            self._timer_at = due
-            self._timer = self.clock.call_at(due, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        # Rounding may bring the timer a hair too early: it would then be set for the same instant for ever.
-        self.settle(max(self.clock.now(), self._timer_at))
+        self._wake_at(model.due())
 
     def finish(self, now: float, job: Request) -> None:
         """A job has its outcome: make the answer, which leaves in its turn."""
--- a/flintridge/lab/world/origin.py
+++ b/flintridge/lab/world/origin.py
@@ -11,6 +11,7 @@
 
 from flintridge.lab.scenario.model import Origin
 from flintridge.lab.world.draws import draw, lognormal
+from flintridge.lab.world.offered import Offered
 
 REPEAT_SLACK_MS = 50.0  # on the way, by which a repeat within its window may arrive later
 FALLS = 2  # a day
@@ -48,7 +49,6 @@
         "_fetches",
         "_firsts",
         "_offered",
-        "_offered_sum",
         "_old_firsts",
         "_order",
         "_read_ms",
@@ -82,8 +82,7 @@
         self._fetches: dict[str, OriginJob] = {}  # by key, where reads share them
         self._firsts: dict[str, tuple[float, OriginJob]] = {}  # keyed writes by idempotency key
         self._old_firsts: deque[tuple[float, str]] = deque()
-        self._offered: deque[tuple[float, float]] = deque()
-        self._offered_sum = 0.0
+        self._offered = Offered(spec.fall_ms)
 
     @property
     def down(self) -> str:
@@ -245,12 +244,8 @@
     # Its fall
 
     def _count_offered(self, now: float, time: float) -> None:
-        spec, offered = self.spec, self._offered
-        offered.append((now, time))
-        self._offered_sum += time
-        while offered[0][0] <= now - spec.fall_ms:
-            self._offered_sum -= offered.popleft()[1]
-        if self.falls < FALLS and self._offered_sum > spec.fall_multiple * self.capacity * spec.fall_ms:
+        spec, offered = self.spec, self._offered.add(now, time)
+        if self.falls < FALLS and offered > spec.fall_multiple * self.capacity * spec.fall_ms:
             self.falls += 1
             self.fallen_until = now + draw(self._rng, spec.down_s) * 1000
             self.collapse()
@@ -264,4 +259,3 @@
         self._waiting_ms = 0.0
         self._fetches.clear()
         self._offered.clear()
-        self._offered_sum = 0.0
--- a/flintridge/lab/world/origin_conn.py
+++ b/flintridge/lab/world/origin_conn.py
@@ -1,17 +1,16 @@
 """A node's connection to the origin: HTTP/1.1, one request after another."""
 
-import asyncio
 from typing import TYPE_CHECKING
 from urllib.parse import unquote_to_bytes
 
 import h11
 
-from flintridge.lab.records import Attempt, Dropped, Made, Malformed, token
+from flintridge.lab.records import token
 from flintridge.lab.truth import Fact
 from flintridge.lab.world.check import mismatch
 from flintridge.lab.world.commands import MAX_KEY, MAX_VALUE, TOKEN, Unreadable, read_extras
 from flintridge.lab.world.origin import OriginJob
-from flintridge.lab.world.sockets import reset
+from flintridge.lab.world.server_conn import ServerConnection
 
 if TYPE_CHECKING:
     from flintridge.lab.world.origin_host import OriginHost
@@ -43,52 +42,21 @@
         self.receipt = b""
 
 
-class OriginConnection(asyncio.Protocol):
-    __slots__ = (
-        "_began",
-        "_body",
-        "_head",
-        "_host",
-        "_http",
-        "_idle",
-        "_node",
-        "_number",
-        "_open",
-        "_request",
-        "_size",
-        "_transport",
-        "_used_at",
-    )
-    _transport: asyncio.Transport
+class OriginConnection(ServerConnection):
+    __slots__ = ("_began", "_body", "_head", "_http", "_request", "_size")
+    _host: "OriginHost"
 
     def __init__(self, host: "OriginHost", node: str) -> None:
-        self._host = host
-        self._node = node
-        self._number = host.objects.connections.next()
+        super().__init__(host, node)
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
-        self._open = False
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._size = 0
         self._began: float | None = None  # when the request that is being read was begun
         self._request: OriginRequest | None = None  # awaits its answer
-        self._idle: asyncio.TimerHandle | None = None
-        self._used_at = 0.0
 
     # What the transport says
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        host = self._host
-        if not host.up or len(host.connections) >= host.spec.connections:
-            reset(transport)
-            return
-        self._open = True
-        host.connections[self] = None
-        self._used_at = now = host.clock.now()
-        self._idle = host.clock.call_at(now + host.idle_ms, self._on_idle)
-
     def data_received(self, data: bytes) -> None:
         if not self._open:
             return
@@ -104,14 +72,6 @@
             return
         self._read(now, sent_at)
 
-    def eof_received(self) -> bool:
-        """To end its sending is how a node gives up: the connection ends with it."""
-        self._end(self._host.clock.now())
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._end(self._host.clock.now())
-
     # Requests
 
     def _read(self, now: float, sent_at: float) -> None:
@@ -164,24 +124,7 @@
         window_ms = host.window_ms(fact.cls)
         request = OriginRequest(self, number, uid, key, write, now + wait_ms, idem, window_ms)
         began = now if self._began is None else self._began
-        host.log.add(
-            Attempt(
-                t=now,
-                began=began,
-                node=self._node,
-                server=host.id,
-                origin=True,
-                conn=self._number,
-                number=number,
-                uid=uid,
-                key=key,
-                write=write,
-                wait_ms=wait_ms,
-                idem=idem,
-                work_ms=host.model.arrive(now, request),
-                digest=digest,
-            )
-        )
+        self._log_attempt(now, began, request, wait_ms, host.model.arrive(now, request), digest)
         self._began = None
         self._request = request
         if now < host.model.fallen_until:
@@ -204,12 +147,10 @@
             self._respond(200, report.encode(), [("Srv-Load", report)])
 
     def _refuse(self, now: float, reason: str) -> None:
-        host = self._host
-        host.log.add(Malformed(t=now, node=self._node, server=host.id, text=reason))
+        self._log_malformed(now, reason)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._respond(400, reason.encode("ascii", "replace"), [("Connection", "close")])
-        self._transport.close()
-        self._end(now)
+        self._close(now)
 
     # Answers
 
@@ -220,17 +161,7 @@
             return
         self._request = request.connection = None
         self._used_at = now
-        host.log.add(
-            Made(
-                t=now,
-                server=host.id,
-                number=request.number,
-                uid=request.uid,
-                outcome=outcome,
-                ran=request.ran,
-                token=token(body) if body else "",
-            )
-        )
+        self._log_made(now, request, outcome, token(body) if body else "")
         self._respond(STATUS[outcome], body, [DECLINED] if outcome == "busy" else [])
         self._read(now, now)
 
@@ -246,42 +177,22 @@
         if http.our_state is h11.DONE and http.their_state is h11.DONE:
             http.start_next_cycle()
         elif http.our_state is h11.MUST_CLOSE:
-            self._transport.close()
-            self._end(self._host.clock.now())
+            self._close(self._host.clock.now())
 
     # Ends
 
-    def kill(self, now: float) -> None:
-        """Reset it."""
-        if self._open:
-            reset(self._transport)
-            self._end(now)
-
-    def _end(self, now: float) -> None:
-        """No more of this connection: the origin goes on with what was out on it."""
-        if not self._open:
-            return
-        self._open = False
-        host = self._host
-        host.connections.pop(self, None)
-        if self._idle is not None:
-            self._idle.cancel()
+    def _forsake(self, now: float) -> None:
+        """The origin goes on with what was out on it."""
         request, self._request = self._request, None
         if request is not None:
             request.connection = None
-            host.log.add(Dropped(t=now, server=host.id, number=request.number, uid=request.uid))
+            self._log_dropped(now, request)
 
-    def _on_idle(self) -> None:
-        host = self._host
-        if not self._open or host.model.down == "silent":
-            return  # what is silent does not say goodbye either
-        now = host.clock.now()
-        until = (now if self._request is not None else self._used_at) + host.idle_ms
-        if until > now:
-            self._idle = host.clock.call_at(until, self._on_idle)
-            return
-        self._transport.close()
-        self._end(now)
+    def _is_busy(self) -> bool:
+        return self._request is not None
+
+    def _is_mute(self) -> bool:
+        return self._host.model.down == "silent"
 
 
 def _parts(
--- a/flintridge/lab/world/origin_host.py
+++ b/flintridge/lab/world/origin_host.py
@@ -3,7 +3,7 @@
 import asyncio
 from functools import partial
 
-from flintridge.lab.fabric import Fabric, Listener
+from flintridge.lab.fabric import Fabric
 from flintridge.lab.records import Log, Ran, ServerSaid
 from flintridge.lab.scenario.model import Scenario
 from flintridge.lab.seeds import Seeds
@@ -11,14 +11,17 @@
 from flintridge.lab.world.objects import Counter, Objects
 from flintridge.lab.world.origin import OriginModel
 from flintridge.lab.world.origin_conn import OriginConnection, OriginRequest
+from flintridge.lab.world.server_host import ServerHost
 
 
-class OriginHost:
+class OriginHost(ServerHost):
     """The one origin: it speaks HTTP/1.1 at the address of the party `id`.
 
     Turn `model.slow` and `model.down` (or `down` here) at any time; the latter needs a running loop.
     """
 
+    is_origin = True
+
     def __init__(
         self,
         fabric: Fabric,
@@ -30,29 +33,17 @@
         nodes: list[str],
         id: str = "origin",
     ) -> None:
-        self.id = id
-        self.fabric = fabric
-        self.clock = fabric.clock
-        self.log = log
-        self.truth = truth
-        self.objects = objects
-        self.spec = scenario.origin
-        self.probes = scenario.limits.probes
-        self.idle_ms = min(kind.idle_s for kind in scenario.kinds) * 1000
-        self.model = OriginModel(scenario.origin, seeds.of("origin"), self._turned)
-        self.up = False  # it listens, or is about to
+        spec = scenario.origin
+        idle_ms = min(kind.idle_s for kind in scenario.kinds) * 1000
+        probes = scenario.limits.probes
+        super().__init__(id, fabric, log, truth, objects, probes, nodes, spec.connections, idle_ms)
+        self.model = OriginModel(spec, seeds.of("origin"), self._turned)
         self._wanted = False  # started and not stopped
         self._fallen = False
-        self.connections: dict[OriginConnection, None] = {}  # a set that keeps its order
-        self._windows = {c.name: scenario.origin.repeats_s * 1000 or c.window_ms for c in scenario.classes}
+        self._windows = {c.name: spec.repeats_s * 1000 or c.window_ms for c in scenario.classes}
         self._effects = Counter()
-        self._nodes = nodes
         self._down = ""
-        self._listeners: list[Listener] = []
         self._opening: asyncio.Task[None] | None = None
-        self._turns = 0  # of opening and closing: what was begun in an earlier one is void
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0
 
     def window_ms(self, cls: str) -> float:
         """Within which a repeat of a keyed write is dropped."""
@@ -93,7 +84,7 @@
         elif was == "refuses":
             self._reopen()
         if was == "silent":  # whoever still waits on those has given up by now
-            self._reset_connections()
+            self.reset_connections()
 
     def _reopen(self) -> None:
         """Listen again, once nothing speaks against it any more."""
@@ -103,30 +94,12 @@
             self._opening = asyncio.get_running_loop().create_task(self._open())
 
     async def _open(self) -> None:
-        turn = self._turns
-        for node in self._nodes:
-            listener = await self.fabric.listen(self.id, node, partial(OriginConnection, self, node))
-            if turn != self._turns:  # closed while it was opening
-                listener.close()
-                return
-            self._listeners.append(listener)
+        await self._listen(self.id, partial(OriginConnection, self))
 
     def _close(self) -> None:
-        self.up = False
-        self._turns += 1
-        for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._shut()
         self.model.collapse()
-        self._reset_connections()
-
-    def _reset_connections(self) -> None:
-        now = self.clock.now()
-        for connection in list(self.connections):
-            connection.kill(now)
+        self.reset_connections()
 
     def _say(self, state: str) -> None:
         capacity = self.model.capacity if state in ("started", "back") else 0.0
@@ -155,17 +128,7 @@
         for job in model.advance(now):
             assert isinstance(job, OriginRequest)
             self.finish(now, job)
-        due = model.due()
-        if due is not None and (self._timer is None or due < self._timer_at):
-            if self._timer is not None:
-                self._timer.cancel()
-            self._timer_at = due
-            self._timer = self.clock.call_at(due, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        # Rounding may bring the timer a hair too early: it would then be set for the same instant for ever.
-        self.settle(max(self.clock.now(), self._timer_at))
+        self._wake_at(model.due())
 
     def finish(self, now: float, job: OriginRequest) -> None:
         """A job has its outcome: let it take effect, and answer."""
