--- /dev/null
+++ b/flintridge/cli/ring_lists.py
@@ -0,0 +1,105 @@
+"""`flintridge ring`: a list of servers from a file, as discovery gives it or as a configuration holds it."""
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from flintridge.config.contradictions import addresses, contradictions, fault, twice
+from flintridge.config.faults import ConfigFaults, Fault, decode_raw, given
+from flintridge.config.model import Listed as OwnListed
+from flintridge.config.model import NodeFile
+from flintridge.config.platform import Known, Listed, PlatformFile, Settings, conflicts
+from flintridge.config.syntax import SyntaxFault, parse_json, parse_toml
+from flintridge.config.words import NOTHING
+from flintridge.settings import is_own
+
+ORIGIN = "origin"  # the kind that discovery gives the origin, where no configuration names another
+
+
+class Cache(NamedTuple):
+    """A server on the ring."""
+
+    id: str
+    zone: str
+    weight: float
+    address: str
+    cell: int
+    kind: str
+    up_since_ms: float  # Unix time; 0: long ago
+
+
+class Fleet(NamedTuple):
+    """What a file says of a fleet; servers in the order of their ids."""
+
+    file: str
+    revision: int
+    caches: tuple[Cache, ...]
+    off: dict[str, str]  # listed, but off the ring: the id and why
+
+    @property
+    def zones(self) -> list[str]:
+        return sorted({cache.zone for cache in self.caches})
+
+
+def read(file: str, origin_kind: str | None = None) -> Fleet:
+    """The fleet in a file; `origin_kind` goes before what a configuration says.
+
+    Raises ConfigFaults with every fault of the file, or OSError.
+    """
+    with open(file, "rb") as opened:
+        text = opened.read()
+    try:
+        raw = parse_toml(text) if file.endswith(".toml") else parse_json(text)
+    except SyntaxFault as error:
+        raise ConfigFaults([Fault(file, error.place, NOTHING, error.reason)]) from error
+    listed, origin = _held(file, raw)
+    if listed is None:
+        raise ConfigFaults([Fault(file, "known", NOTHING, "is missing: this file holds no list of servers")])
+    return _fleet(file, listed.revision, listed.members, origin if origin_kind is None else origin_kind)
+
+
+def _held(file: str, raw: Any) -> tuple[Any, str | None]:
+    """The list in a file of any of the three forms, None where there is none, and the origin's kind."""
+    names = raw if isinstance(raw, dict) else ()
+    if "members" in names and "settings" not in names and "classes" not in names:
+        return decode_raw(file, raw, Known, _list_faults), ORIGIN
+    if is_own(file, raw):
+        own = decode_raw(file, raw, NodeFile, contradictions)
+        return own.known, own.origin_kind
+    if "settings" in names:
+        platform = decode_raw(file, raw, PlatformFile, conflicts)
+        return platform.known, _platform_origin(platform.settings)
+    reason = "must be a list of servers (revision, complete, members) or a node's configuration"
+    raise ConfigFaults([Fault(file, "", NOTHING, reason)])
+
+
+def _list_faults(listed: Known) -> Iterator[Fault]:
+    if given(listed.complete) and not listed.complete:
+        yield fault("complete", False, "must be true: this is a change of a list, not a list", "true")
+    if not given(listed.members):
+        return
+    yield from twice(listed.members, "members", "id")
+    yield from addresses(listed.members, "members")
+    for i, one in enumerate(listed.members):
+        if given(one) and given(one.phase) and one.phase != "terminated" and one.host_port is None:
+            yield fault(f"members[{i}].host_port", NOTHING, "is missing for a server that is not gone")
+
+
+def _platform_origin(settings: Settings) -> str | None:
+    """As the node counts it: a position among the kinds, in the mode that has an origin."""
+    kinds, at = settings.kinds or (), settings.family_info.origin_kind
+    return kinds[at] if settings.family_info.mode == "aside" and 0 <= at < len(kinds) else None
+
+
+def _fleet(file: str, revision: int, members: tuple[Listed | OwnListed, ...], origin: str | None) -> Fleet:
+    caches: list[Cache] = []
+    off: dict[str, str] = {}
+    for one in sorted(members, key=lambda member: member.id):
+        if one.phase != "in_service":
+            off[one.id] = one.phase
+        elif origin is not None and one.flavor == origin:
+            off[one.id] = "the origin"
+        else:
+            weight = 1.0 if one.size is None else one.size
+            address, since = one.host_port or "", one.up_since_ms or 0.0
+            caches.append(Cache(one.id, one.locality, weight, address, one.cell or 0, one.flavor, since))
+    return Fleet(file, revision, tuple(caches), off)
