Add the operators' console and drain, and listeners that two processes share

Change: drain.py (serving, draining, drained, leaving) is what the console and SIGTERM both go by; the sender side only carries out what falls due. fronts/console.py reads one HTTP call by h11, net/console.py gives it 12 places with descriptors of their own. net/listen.py opens listeners with SO_REUSEPORT and empties their queue in the step that closes them. A connection that no command came on gets 0.3 s for its first while others are closed, then is told busy.

--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from flintridge.net.clock import SystemClock
+from flintridge.net.listen import NotListening
 from flintridge.net.log import Log
 from flintridge.node import Node
 from flintridge.settings import ConfigError, NodeConfig, load_config
@@ -63,8 +64,8 @@
             asyncio.run(run(config, log))
     except ConfigError as error:
         return _refused(error)
-    except OSError as error:
-        print(f"flintridge: {config.listen.host}:{config.listen.port}: {error}", file=sys.stderr)
+    except NotListening as error:
+        print(f"flintridge: {error}", file=sys.stderr)
         return 1
     finally:
         log.close()
--- a/flintridge/config/build.py
+++ b/flintridge/config/build.py
@@ -10,7 +10,7 @@
 from flintridge.config.faults import ConfigFaults, Fault, decode
 from flintridge.config.model import NodeFile, RequestClass
 from flintridge.config.words import NOTHING
-from flintridge.settings import Address, ConfigError, NodeConfig
+from flintridge.settings import Address, ConfigError, NodeConfig, optional_address
 
 MS, S = 1_000_000, 1_000_000_000  # nanoseconds
 
@@ -36,6 +36,13 @@
             faults.append(
                 Fault(file, part, NOTHING if text is None else text, reason, "a numeric address with a port")
             )
+    text = held.console or env.get("PROXY_CONSOLE")
+    try:
+        console = optional_address(text)
+    except ValueError:
+        faults.append(Fault(file, "console", text, "is no address", "a numeric address with a port"))
+    if not faults and console in places.values():
+        faults.append(Fault(file, "console", text, "is listen or discovery too", "an address of its own"))
     if faults:
         raise ConfigFaults(faults)
     return NodeConfig(
@@ -51,6 +58,7 @@
         memory_mb=held.machine.memory_mb,
         log_level=held.log.level,
         log_repeats_per_s=held.log.repeats_per_s,
+        console=console,
     )
 
 
--- a/flintridge/config/contradictions.py
+++ b/flintridge/config/contradictions.py
@@ -54,6 +54,14 @@
         yield fault(path, text, f"must be {allowed}", allowed)
 
 
+def own_console(file: Any) -> Iterator[Fault]:
+    """The console is an address of its own."""
+    for other in ("listen", "discovery"):
+        taken = getattr(file, other)
+        if given(file.console, taken) and file.console and file.console == taken:
+            yield fault("console", file.console, f"is {other} too", "an address of its own")
+
+
 def addresses(members: Sequence[Any], path: str) -> Iterator[Fault]:
     for i, member in enumerate(members):
         if given(member):
@@ -63,6 +71,8 @@
 def _places(file: NodeFile) -> Iterator[Fault]:
     yield from address("listen", file.listen)
     yield from address("discovery", file.discovery)
+    yield from address("console", file.console)
+    yield from own_console(file)
     if given(file.listen, file.discovery) and file.listen and file.listen == file.discovery:
         yield fault("discovery", file.discovery, "is the address that the node itself listens on")
     for path in ("zones", "kinds"):
--- a/flintridge/config/model.py
+++ b/flintridge/config/model.py
@@ -133,11 +133,12 @@
 
 
 class NodeFile(Part, kw_only=True, frozen=True):
-    """A node. `listen` and `discovery` may be left to PROXY_LISTEN and PROXY_DISCOVERY."""
+    """A node. `listen`, `discovery` and `console` may be left to PROXY_LISTEN and so on."""
 
     name: Name | None = None
     listen: Address | None = None
     discovery: Address | None = None
+    console: Address | None = None  # for operators alone; none: no console
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{1,32}$(?!\n)", description="hexadecimal")] = "0"
     zones: tuple[Name, ...] = ()
     zone: Name | None = None  # this node's; needed where there are several
--- a/flintridge/config/platform.py
+++ b/flintridge/config/platform.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from flintridge.config.contradictions import address, addresses, fault, twice
+from flintridge.config.contradictions import address, addresses, fault, own_console, twice
 from flintridge.config.faults import Fault, given
 from flintridge.config.words import NOTHING
 
@@ -139,12 +139,13 @@
 
 
 class PlatformFile(msgspec.Struct, kw_only=True, frozen=True):
-    """The file as a whole; `listen` and `discovery` may be left to the environment."""
+    """The file as a whole; `listen`, `discovery` and `console` may be left to the environment."""
 
     settings: Settings
     name: str | None = None
     listen: str | None = None
     discovery: str | None = None
+    console: str | None = None
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{1,64}$(?!\n)", description="hexadecimal")] = "0"
     limits: Machine | None = None
     known: Known | None = None
@@ -154,6 +155,8 @@
     """What cannot hold together, of a file that may be faulty in parts."""
     yield from address("listen", file.listen or None)
     yield from address("discovery", file.discovery or None)
+    yield from address("console", file.console or None)
+    yield from own_console(file)
     if given(file.settings):
         yield from _settings(file.settings)
     if given(file.known) and file.known and given(file.known.members):
--- /dev/null
+++ b/flintridge/net/console.py
@@ -0,0 +1,92 @@
+"""The console's sockets: few places of its own, which no crowd of clients and no silent caller can take."""
+
+import asyncio
+
+from flintridge.fronts.console import ConsoleExchange, Routes
+from flintridge.net.clock import Clock, OutOfTime, within
+from flintridge.net.counters import Counters
+from flintridge.net.listen import Listening, open_listener
+from flintridge.net.log import EventLog
+from flintridge.settings import CONSOLE_PLACES, Address
+
+CALL_TIME = 3_000.0  # until which a call must be whole
+PARTING = 500.0  # for a caller to read its answer
+MOST_UNREAD = 128 * 1024  # of a call that was answered before it was whole
+
+
+class Console:
+    def __init__(
+        self,
+        routes: Routes,
+        clock: Clock,
+        log: EventLog,
+        counters: Counters,
+        places: int = CONSOLE_PLACES,
+    ) -> None:
+        self._routes = routes
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._places = places
+        self._listening: Listening | None = None
+        self._callers: dict[asyncio.StreamWriter, asyncio.Task[None] | None] = {}  # the oldest first
+
+    async def listen(self, address: Address) -> int:
+        """Open the listener; the port. Raises OSError where it can't be opened: it is shared with nobody."""
+        self._listening = await open_listener(self._accepted, address, shared=False)
+        return self._listening.port
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._callers) >= self._places:
+            # Guards those who call against those who only hold a place: the one that has had its place for
+            # longest has said nothing whole so far, as an answer is given at once.
+            oldest = next(iter(self._callers))
+            self._counters.add("console_made_place")
+            self._drop(oldest)
+        self._callers[writer] = asyncio.current_task()
+        self._counters.add("console_calls")
+        exchange = ConsoleExchange(self._routes)
+        try:
+            await within(self._clock, CALL_TIME, self._serve(exchange, reader, writer))
+        except OutOfTime:
+            self._counters.add("console_late")
+            if not exchange.answered:
+                writer.writelines(exchange.late())
+        except OSError:
+            pass  # the caller's end of the connection
+        except asyncio.CancelledError:
+            if writer in self._callers:
+                raise  # else it made place, and nobody waits for this task
+        except Exception as error:
+            self._counters.add("console_errors")
+            self._log.error("console_broke", error)
+        finally:
+            self._callers.pop(writer, None)
+            writer.close()
+
+    async def _serve(
+        self, exchange: ConsoleExchange, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(4096):
+            if (parts := exchange.feed(data)) is not None:
+                writer.writelines(parts)
+                await writer.drain()
+                if writer.can_write_eof():
+                    writer.write_eof()
+                # Closed with input unread, the answer could be lost to a reset.
+                left = MOST_UNREAD
+                while left > 0 and (data := await within(self._clock, PARTING, reader.read(4096))):
+                    left -= len(data)
+                return
+
+    def _drop(self, writer: asyncio.StreamWriter) -> None:
+        task = self._callers.pop(writer)
+        if task is not None:
+            task.cancel()
+        writer.close()
+
+    def close(self) -> None:
+        if self._listening is not None:
+            self._listening.close()
+        for writer in list(self._callers):
+            self._drop(writer)
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -179,6 +179,11 @@
         """Whether every request has its final answer."""
         return all(request.answered for request in self._open.values())
 
+    @property
+    def unanswered(self) -> int:
+        """How many requests await their final answer."""
+        return sum(not request.answered for request in self._open.values())
+
     def _tell(self, event: api.Event) -> None:
         """The module is not re-entrant: what happens while it decides waits its turn."""
         if self._closed:
--- /dev/null
+++ b/flintridge/net/listen.py
@@ -0,0 +1,97 @@
+"""Listeners: opened alone or shared with another process on the same address, and closed without a loss."""
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import Awaitable, Callable
+
+from flintridge.settings import Address
+
+# In one go asyncio accepts as many as it is told to let wait, before any of them can be turned away. Guards
+# the spare descriptors against a burst: out of them it accepts nothing for a second, and says so as an error.
+ACCEPTS = 4
+QUEUED = 512  # what may really wait, in the kernel
+
+Accepted = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class NotListening(OSError):
+    """A listener that could not be opened; its text is one line for the operator."""
+
+
+class Listening:
+    """An open listener."""
+
+    def __init__(self, server: asyncio.Server, accepted: Accepted) -> None:
+        self._server = server
+        self._accepted = accepted
+        self.port: int = server.sockets[0].getsockname()[1]
+
+    @property
+    def open(self) -> bool:
+        return self._server.is_serving()
+
+    def close(self) -> int:
+        """Accept what waits, then close in the same step; how many were accepted so.
+
+        Guards the connections that clients have made and the program has not seen: the kernel resets them
+        when their listener closes, though another process listens on the same address.
+        """
+        taken = 0
+        if self.open:
+            loop = asyncio.get_running_loop()
+            numbers = [listener.fileno() for listener in self._server.sockets]
+            copies = [socket.socket(fileno=os.dup(number)) for number in numbers if number >= 0]
+            self._server.close()
+            for same in copies:
+                while (one := _accept(same)) is not None:
+                    taken += 1
+                    _hand_over(loop, one, self._accepted)
+                same.close()
+        return taken
+
+
+def _accept(listener: socket.socket) -> socket.socket | None:
+    while True:
+        try:
+            one, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue  # it ended while it waited
+        except OSError:  # none is left, or no descriptor for it: nothing more can be done for those
+            return None
+        one.setblocking(False)
+        return one
+
+
+def _hand_over(loop: asyncio.AbstractEventLoop, one: socket.socket, accepted: Accepted) -> None:
+    """As asyncio's server does it with a connection that it accepted."""
+    reader = asyncio.StreamReader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, accepted, loop=loop)
+
+    async def attach() -> None:
+        with contextlib.suppress(OSError):  # it ended meanwhile
+            await loop.connect_accepted_socket(lambda: protocol, one)
+
+    task = loop.create_task(attach())
+    _attaching[task] = None
+    task.add_done_callback(_attaching.pop)
+
+
+_attaching: dict[asyncio.Task[None], None] = {}  # the loop itself holds tasks weakly only
+
+
+async def open_listener(accepted: Accepted, address: Address, shared: bool) -> Listening:
+    """`shared`: another process of the same user may listen there as well. Raises NotListening."""
+    try:
+        server = await asyncio.start_server(
+            accepted, address.host, address.port, backlog=ACCEPTS, reuse_port=shared or None
+        )
+    except OSError as error:
+        reason = os.strerror(error.errno) if error.errno else str(error)
+        raise NotListening(f"{address.host}:{address.port}: {reason}") from error
+    for listener in server.sockets:
+        if (number := listener.fileno()) >= 0:
+            with socket.socket(fileno=os.dup(number)) as same:
+                same.listen(QUEUED)
+    return Listening(server, accepted)
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import contextlib
-import os
-import socket
 from collections import deque
 
 from flintridge.api import Settings
+from flintridge.drain import Drain
 from flintridge.net import memcache
 from flintridge.net.clock import Clock, OutOfTime, sleep, within
 from flintridge.net.core import Core, IdInUse
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Envelope, Served
+from flintridge.net.listen import Listening, open_listener
 from flintridge.net.log import EventLog
 from flintridge.net.transport_map import TransportMap
 from flintridge.settings import Address
@@ -25,13 +25,9 @@
 PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
 PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
 PARTINGS = 4  # connections beyond the room, of the spare descriptors, that are read past before they end
-# In one go asyncio accepts as many as it is told to let wait, before any of them can be turned away. Guards
-# the spare descriptors against a burst: out of them it accepts nothing for a second, and says so as an error.
-ACCEPTS = 4
-QUEUED = 512  # what may really wait, in the kernel
-LINGER = 400.0  # after SIGTERM, until which new connections keep coming and idle ones stay open
 LAST_BYTES = 1_000.0  # at the end, for answers that clients are still reading
 SERVING = 700.0  # after SIGTERM, until which what arrives is served
+FIRST_WORD = 300.0  # for the first request of a connection that comes while others are closed
 
 
 class Slot:
@@ -74,8 +70,10 @@
         self.used_at = side.clock.now()
         self.begun_at = self.used_at  # of the command that is not whole yet, or the connection
         self.asked = False  # a request ever came whole
+        self.heard = False  # any command did
         self._bad = 0
         self._ending = False
+        self._ceased = False  # nothing more is taken: the drain is nearly over
         self._taking = False  # commands that were read are being taken: there may be more of them
         writer.transport.set_write_buffer_limits(high=UNREAD)
 
@@ -89,6 +87,11 @@
         """Whether a command awaits its answer, or its turn to be taken."""
         return bool(self._slots) or self._taking
 
+    def cease(self) -> None:
+        """Take nothing more but what is half here, and close after the answers that are owed."""
+        if self._parser.idle and not self._taking:
+            self._ceased = True
+
     def expire(self, now: float) -> None:
         """Close it if it has been of no use for too long: nothing asked, or half a command and no more.
 
@@ -117,11 +120,15 @@
                     # Guards a request that crossed the close of an unused connection: its client sends it
                     # again, and taken here as well it would run twice, and the second be told `id in use`.
                     break
+                if self._ceased:
+                    await self._finish()
+                    return
                 self.used_at = self._side.clock.now()
                 if self._parser.idle:
                     self.begun_at = self.used_at
                 commands = self._parser.feed(data)
                 if commands:
+                    self.heard = True
                     self.begun_at = self.used_at
                 self._taking = True
                 for command in commands:
@@ -131,6 +138,8 @@
                         return
                     await self._room()
                 self._taking = False
+                if self._side.ceasing:
+                    self.cease()
                 self._side.between_requests(self)
         except OutOfTime:
             self._side.counters.add("slow_readers")
@@ -234,34 +243,44 @@
         room: int,
         log: EventLog,
         counters: Counters,
+        drain: Drain | None = None,
     ) -> None:
         self.core = core
         self.settings = settings
         self.clock = clock
         self.counters = counters
+        self.drain = drain or Drain()
         self._transports = transports
         self.room = room
         self._log = log
-        self._server: asyncio.Server | None = None
+        self._listening: Listening | None = None
         # A dict, not a set: it is walked in the order of arrival, and two nodes given the same do the same.
         self._connections: dict[SenderConnection, None] = {}
-        self._leaving = False  # connections are closed between requests
         self._partings = 0
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
+    @property
+    def serving(self) -> bool:
+        """Whether this process can serve: it listens, and knows servers in service."""
+        return self._listening is not None and self._listening.open and self._transports.serving
+
     @property
     def ready(self) -> bool:
-        return self._server is not None and self._transports.serving
+        """Whether clients may come: what `mn` is told."""
+        return self.drain.welcoming and self.serving
+
+    @property
+    def connections(self) -> int:
+        return len(self._connections)
+
+    @property
+    def ceasing(self) -> bool:
+        return self.drain.ceasing(self.clock.now())
 
     async def listen(self, address: Address) -> int:
-        """Open the listener; the port."""
-        self._server = await asyncio.start_server(self._accepted, address.host, address.port, backlog=ACCEPTS)
-        for listener in self._server.sockets:
-            if (number := listener.fileno()) >= 0:
-                with socket.socket(fileno=os.dup(number)) as same:
-                    same.listen(QUEUED)
-        port: int = self._server.sockets[0].getsockname()[1]
-        return port
+        """Open the listener; the port. Raises NotListening."""
+        self._listening = await open_listener(self._accepted, address, shared=True)
+        return self._listening.port
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self._connections) >= self.room and not self._free_one():
@@ -277,6 +296,7 @@
             self._log.error("connection_broke", error)
         finally:
             self._connections.pop(connection, None)
+            self._emptied()
 
     async def _turn_away(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """No room: say so, and close.
@@ -316,24 +336,49 @@
         self._sweep_timer = self.clock.call_at(now + SWEEP, self._sweep)
         for connection in list(self._connections):
             connection.expire(now)
+            self.between_requests(connection)
+        self._emptied()
 
     def between_requests(self, connection: SenderConnection) -> None:
-        if self._leaving and connection.idle:
+        """Close it if the service is ending: between requests, or if its first one does not come."""
+        now = self.clock.now()
+        if not self.drain.parting(now) or not connection.idle:
+            return
+        if connection.heard:
             connection.close()
+        elif now - connection.used_at >= FIRST_WORD:
+            connection.make_place()
+
+    # The end of the service
+
+    def ending(self) -> None:
+        """The service was told to end: carry out what falls due, when it does."""
+        for at in self.drain.due(self.clock.now()):
+            self.clock.call_at(at, self._part)
+
+    def _part(self) -> None:
+        for connection in list(self._connections):
+            if self.ceasing:
+                connection.cease()
+            self.between_requests(connection)
+        self._emptied()
+
+    def _emptied(self) -> None:
+        if not self._connections and self.drain.emptied(self.clock.now()):
+            self._log.event("drained")
 
     async def leave(self) -> None:
         """After SIGTERM: serve on for a while, then close each connection between requests; answer all."""
-        await sleep(self.clock, LINGER)
-        self._leaving = True
-        self._close_idle()
-        await sleep(self.clock, SERVING - LINGER)
-        if self._server is not None:
-            self._server.close()
+        self.drain.leave(self.clock.now())
+        self.ending()
+        await sleep(self.clock, SERVING)
+        if self._listening is not None:
+            self._listening.close()
         while True:  # each request's own deadline bounds this wait
             # Again each time: a connection that came meanwhile and stays unused must not take a request
             # that this program would end upon.
-            self._close_idle()
-            if self.core.idle:
+            self._part()
+            if self.core.idle and not any(connection.owed for connection in self._connections):
                 break
             await sleep(self.clock, 20.0)
         for connection in list(self._connections):
@@ -345,11 +390,7 @@
     def close(self) -> None:
         """The listener and every connection, at once; what was answered is still written out."""
         self._sweep_timer.cancel()
-        if self._server is not None:
-            self._server.close()
+        if self._listening is not None:
+            self._listening.close()
         for connection in list(self._connections):
             connection.close()
-
-    def _close_idle(self) -> None:
-        for connection in list(self._connections):
-            self.between_requests(connection)
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -7,7 +7,10 @@
 from dataclasses import dataclass, fields, replace
 
 from flintridge.decide import Balancer
+from flintridge.drain import Drain, State
+from flintridge.fronts.console import Routes, Said
 from flintridge.net.clock import Clock
+from flintridge.net.console import Console
 from flintridge.net.core import Core, Module
 from flintridge.net.counters import Counters
 from flintridge.net.delivery import Delivery
@@ -65,13 +68,22 @@
             config.discovery, self.transports, clock, self.core.told, log, self.counters
         )
         self.core.attach(self.delivery, self.watch)
+        self.drain = Drain()
         self.side = SenderSide(
-            self.core, settings, self.transports, clock, config.client_sockets, log, self.counters
+            self.core, settings, self.transports, clock, config.client_sockets, log, self.counters, self.drain
         )
+        self.console = Console(self._routes(), clock, log, self.counters)
         self._closed = False
 
     async def start(self) -> int:
-        """Take the known list in and open the listener; its port. Raises OSError where it can't be opened."""
+        """Take the known list in and open the console and the listener; the listener's port.
+
+        Raises NotListening, an OSError, where one of the two can't be opened.
+        """
+        # Before anything else: what cannot have its console must not have taken a single connection.
+        if self.config.console is not None:
+            port = await self.console.listen(self.config.console)
+            self.log.event("console", host=self.config.console.host, port=port)
         self.core.told(self._known)
         listen = self.config.listen
         port = await self.side.listen(listen)
@@ -101,6 +113,54 @@
         self.counters.add("reloads_refused")
         self.log.event("reload_refused", error=str(error))
 
+    # What operators call for
+
+    def _routes(self) -> Routes:
+        return {
+            b"/admin/health": {b"GET": self._health},
+            b"/admin/quiesce": {b"POST": self._quiesce},
+            b"/admin/resume": {b"POST": self._resume},
+        }
+
+    @property
+    def state(self) -> str:
+        """`starting`, or as in `drain.State`."""
+        if self.drain.state is State.SERVING and not self.side.serving:
+            return "starting"
+        return self.drain.state.value
+
+    def _health(self) -> Said:
+        # A drained process can serve: it is only told not to. One that leaves ends soon.
+        able = self.side.serving and self.drain.state is not State.LEAVING
+        said = {"state": self.state, "connections": self.side.connections, "requests": self.core.unanswered}
+        return 200 if able else 503, said
+
+    def _quiesce(self) -> Said:
+        self.quiesce()
+        return 200, {"state": self.state}
+
+    def _resume(self) -> Said:
+        self.resume()
+        return 409 if self.drain.state is State.LEAVING else 200, {"state": self.state}
+
+    def quiesce(self) -> bool:
+        """Drain: `mn` is told no, connections end between requests, the process runs on. False: it was told
+        before."""
+        if not self.drain.quiesce(self.clock.now()):
+            return False
+        self.counters.add("drains")
+        self.log.event("draining", connections=self.side.connections)
+        self.side.ending()
+        return True
+
+    def resume(self) -> bool:
+        """End the drain. False where there was none, or the process leaves."""
+        if not self.drain.resume(self.clock.now()):
+            return False
+        self.counters.add("resumes")
+        self.log.event("resumed", connections=self.side.connections)
+        return True
+
     async def leave(self) -> None:
         """Serve on for 0.7 s, answer all that was taken, then close."""
         self.log.event("leaving")
@@ -121,6 +181,7 @@
             return
         self._closed = True
         self.side.close()
+        self.console.close()
         await self.watch.close()
         await self.delivery.close()
         self.core.close()
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -130,9 +130,18 @@
             raise ValueError(f"{text!r} has no port")
         return cls(host.strip("[]"), int(port))
 
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def optional_address(text: Any) -> Address | None:
+    """None where nothing is said. Raises ValueError."""
+    return None if text is None or text == "" else Address.parse(text)
+
 
 # Descriptors for the listener, discovery, the event loop, the log, and connections on their way in.
 SPARE = 24
+CONSOLE_PLACES = 12  # callers at a time, and descriptors beyond those, where there is a console
 # Of the others, for clients: their requests need a third of all, and each of these an attempt or two. What is
 # more lets those that never ask wait for their end without taking the place of those that do.
 CLIENT_PART = 0.6
@@ -155,6 +164,7 @@
     memory_mb: float = 192.0
     log_level: str = "info"
     log_repeats_per_s: int = 50  # lines of one event; the rest is counted in one
+    console: Address | None = None  # for operators; None: no such address
 
     @property
     def client_sockets(self) -> int:
@@ -171,7 +181,8 @@
 
     @property
     def _spare(self) -> int:
-        return SPARE if self.sockets > 4 * SPARE else self.sockets // 4
+        spare = SPARE if self.console is None else SPARE + CONSOLE_PLACES
+        return spare if self.sockets > 4 * spare else self.sockets // 4
 
 
 def node_config(config: Any, env: Mapping[str, str]) -> NodeConfig:
@@ -189,6 +200,10 @@
         listen = Address.parse(config.get(part) or env.get("PROXY_LISTEN"))
         part = "discovery"
         discovery = Address.parse(config.get(part) or env.get("PROXY_DISCOVERY"))
+        part = "console"
+        console = optional_address(config.get(part) or env.get("PROXY_CONSOLE"))
+        if console in (listen, discovery):
+            raise ValueError(f"{console} is listen or discovery as well; it must be an address of its own")
         part = "seed"
         seed = int(str(config.get(part, "0")), 16)
         part = "limits"
@@ -202,7 +217,9 @@
         raise ConfigError(f"{part}: {str(error) or type(error).__name__}") from error
     name = str(config.get("name") or env.get("PROXY_NAME") or "node")
     known = config.get("known")
-    return NodeConfig(name, listen, discovery, seed, settings, zones, kinds, known, sockets, memory_mb)
+    return NodeConfig(
+        name, listen, discovery, seed, settings, zones, kinds, known, sockets, memory_mb, console=console
+    )
 
 
 def is_own(path: str, config: Any) -> bool:
