Pass values of up to 4 MiB through in pieces, and keep room for written ones beforehand

Change: exchanges tell of a long value that begins (LongValue: counted, its last byte kept back until its end was seen); Core.begins ends the attempt and opens a Passage; Delivery reads the server only as fast as the client reads. A write is announced by the parser, which goes on once Room has kept its length or it is to be read past. Half a command has 2.6 s now, as a good client may take 2 s for a head. A process that leaves waits for connections whose first request is on its way; the queue of its listener was emptied into connections that the process then ended upon (5 of 5000 requests in a probe of ten clients without a pause between two processes).

Ruled out for the rest of that loss, 0 to 2 of 4000 in each of 8 probes at 2500 connections a second: the program. They are reset between the last accept and the close. Steering new connections to the other process first would end it.

--- a/flintridge/lab/defects/wrapping.py
+++ b/flintridge/lab/defects/wrapping.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from flintridge.net.envelope import Envelope, Reply, Served
+from flintridge.net.envelope import Envelope, Passage, Reply, Served
 from flintridge.node import Node
 
 
@@ -33,6 +33,9 @@
     def __init__(self, reply: Reply) -> None:
         self.reply = reply
 
+    def begin(self, length: int) -> Passage:
+        return self.reply.begin(length)
+
     def served(self, served: Served) -> None:
         self.reply.served(served)
 
@@ -47,7 +50,7 @@
     """Have each request's reply replaced by what `alter` makes of it."""
     submit = node.core.submit
 
-    def wrapped(envelope: Envelope, reply: Reply) -> str:
-        return submit(envelope, alter(envelope, reply))
+    def wrapped(envelope: Envelope, reply: Reply, kept: int = 0) -> str:
+        return submit(envelope, alter(envelope, reply), kept)
 
     put(node.core, "submit", wrapped)
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -10,11 +10,20 @@
 from flintridge import api
 from flintridge.net.clock import Clock, Timer, to_ms, to_ns
 from flintridge.net.counters import Counters
-from flintridge.net.envelope import Answer, DeliveryAttempt, Envelope, Reply
+from flintridge.net.envelope import Answer, DeliveryAttempt, Envelope, Long, Passage, Reply
 from flintridge.net.log import EventLog
+from flintridge.net.room import Room
 
 # A client's time counts from its sending, and the answer takes its way back: answers are due this much early.
 MARGIN = 10.0
+SMALL = (
+    64 * 1024
+)  # a value up to this is there three times for a while: taken in, on its way, in a socket's buffer
+
+
+def needed(length: int) -> int:
+    """Bytes of room for a value of a write."""
+    return length if length > SMALL else 3 * length
 
 
 class Module(Protocol):
@@ -51,6 +60,7 @@
     reply: Reply
     deadline: float
     guard: Timer
+    kept: int  # bytes of room for its value
     answered: bool = False
     attempts: list[DeliveryAttempt] = field(default_factory=list)
     out: int = 0
@@ -66,7 +76,7 @@
         log: EventLog,
         counters: Counters,
     ) -> None:
-        self.held_bytes = held_bytes  # of values in open requests, at the most
+        self.room = Room(held_bytes, clock)  # for values of writes
         self._module = module
         self._settings = settings
         self._clock = clock
@@ -75,7 +85,6 @@
         self._delivery: DeliveryDriver | None = None
         self._watch: WatchDriver | None = None
         self._open: dict[str, Open] = {}
-        self._held_bytes = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._closed = False
@@ -86,16 +95,24 @@
 
     # Events
 
-    def submit(self, envelope: Envelope, reply: Reply) -> str:
-        """Take a request in; its id, by which `gone` may be told."""
+    def submit(self, envelope: Envelope, reply: Reply, kept: int = 0) -> str:
+        """Take a request in; its id, by which `gone` may be told.
+
+        `kept`: bytes of `room` that its value has already; they are the request's, unless IdInUse is raised.
+        """
         uid = envelope.id.decode("ascii")
         if uid in self._open:
             raise IdInUse
         self._counters.add("requests")
         full = len(self._open) >= self._settings.limits.max_open
-        if full or self._held_bytes + len(envelope.value or b"") > self.held_bytes:
+        if not kept and not full:
+            kept = needed(len(envelope.value or b""))
+            full = not self.room.take(kept)
+            kept = 0 if full else kept
+        if full:
             # Guards the node's memory. It never ran, so trying again is harmless.
             self._counters.add("answers_turned_away")
+            self.room.give(kept)
             reply.defer(0.0)
             return uid
         cls = self._settings.classes[envelope.cls]
@@ -106,8 +123,7 @@
         now = self._clock.now()
         deadline = now + patience - margin
         guard = self._clock.call_at(deadline + margin / 2, self._overdue, uid)
-        self._open[uid] = Open(envelope, reply, deadline, guard)
-        self._held_bytes += len(envelope.value or b"")
+        self._open[uid] = Open(envelope, reply, deadline, guard, kept)
         self._tell(
             api.Request(
                 id=uid,
@@ -139,11 +155,27 @@
         self._closed = True
         for request in self._open.values():
             request.guard.cancel()
+            self.room.give(request.kept)
         self._open.clear()
 
     def told(self, members: api.MemberList) -> None:
         self._tell(members)
 
+    def begins(self, attempt: DeliveryAttempt, long: Long) -> Passage | None:
+        """An attempt is served with a long value: the way to its client, or None where nobody waits for it.
+
+        For the module it ends here, as its request has its answer: while pieces go out, for as long as the
+        client reads, the server has done its part, and nothing can be decided any more.
+        """
+        request = self._open.get(attempt.id)
+        if attempt.ended or request is None or request.answered:
+            return None
+        self._counters.add("answers_in_pieces")
+        self._answered(attempt.id, request)
+        passage = request.reply.begin(long.length)
+        self.attempt_ended(attempt, long.answer)
+        return passage
+
     def attempt_ended(self, attempt: DeliveryAttempt, answer: Answer) -> None:
         """Each attempt ends here once, however it ends."""
         if attempt.ended:
@@ -319,4 +351,4 @@
         request = self._open.get(uid)
         if request is not None and request.answered and request.out == 0:
             del self._open[uid]
-            self._held_bytes -= len(request.envelope.value or b"")
+            self.room.give(request.kept)
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -12,10 +12,11 @@
 from flintridge.api import Outcome, Settings
 from flintridge.net.clock import Clock, OutOfTime, to_ms, within
 from flintridge.net.counters import Counters
-from flintridge.net.envelope import Answer, DeliveryAttempt, Exchange
+from flintridge.net.envelope import Answer, DeliveryAttempt, Exchange, Gone, Long, Passage
 from flintridge.net.log import EventLog
 from flintridge.net.memcache import CacheExchange, CacheProbe
 from flintridge.net.origin import OriginExchange, OriginProbe
+from flintridge.net.streams import READ, bound_reads
 from flintridge.net.transport_map import Transport, TransportMap
 from flintridge.settings import Address
 
@@ -25,6 +26,8 @@
 STALE_SPAN = 20_000.0  # so long counts what was seen of old connections
 STALE_PART = 0.8  # of the least age at which most were lost
 PROBE_TIME = 500.0
+PIECE = 64 * 1024  # bytes of a value that are handed to a connection at a time
+SERVER_SILENT = 10_000.0  # so long a server may pause within a long value; then it has failed
 
 
 class NoRoom(OSError):
@@ -39,7 +42,7 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop=loop)
+        super().__init__(limit=READ // 2, loop=loop)
         self.fed = 0
         self.unasked: Callable[[], None] | None = None  # set while nothing may arrive
 
@@ -80,20 +83,37 @@
         reader = self.reader
         return reader.fed != self.read or reader.at_eof() or self.writer.is_closing()
 
-    async def ask(self, exchange: Exchange) -> Answer:
-        """Raises OSError where the connection breaks."""
+    async def ask(self, exchange: Exchange) -> Answer | None:
+        """None where a long value has begun, which the exchange then holds. Raises OSError where the
+        connection breaks."""
         self.asked = False
-        self.writer.writelines(exchange.question())
+        short: list[bytes | bytearray] = []
+        for part in exchange.question():
+            if len(part) <= PIECE:
+                short.append(part)
+                continue
+            # A long value goes by pieces: the transport would copy all that the server has not read.
+            self.writer.writelines(short)
+            short = []
+            for at in range(0, len(part), PIECE):
+                self.writer.write(memoryview(part)[at : at + PIECE])
+                await self.writer.drain()
+        self.writer.writelines(short)
         await self.writer.drain()  # with no high-water mark: returns when all is written
         self.asked = True
         while True:
-            data = await self.reader.read(65536)
-            self.read += len(data)
-            answer = exchange.feed(data) if data else exchange.end()
-            if answer is not None:
+            answer = await self.more(exchange)
+            if answer is not None or exchange.long is not None:
                 return answer
-            if not data:
-                raise ConnectionResetError("the server ended the connection")
+
+    async def more(self, exchange: Exchange) -> Answer | None:
+        """Read on. Raises OSError where the connection ends too early."""
+        data = await self.reader.read(READ)
+        self.read += len(data)
+        answer = exchange.feed(data) if data else exchange.end()
+        if answer is None and not data:
+            raise ConnectionResetError("the server ended the connection")
+        return answer
 
 
 async def _open(address: Address) -> tuple[LinkReader, asyncio.StreamWriter]:
@@ -102,6 +122,7 @@
     reader = LinkReader(loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, address.host, address.port)
+    bound_reads(transport)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
@@ -115,7 +136,9 @@
         report: Callable[[DeliveryAttempt, Answer], None],
         log: EventLog,
         counters: Counters,
+        begins: Callable[[DeliveryAttempt, Long], Passage | None] = lambda *_: None,
     ) -> None:
+        self._begins = begins
         self._transports = transports
         self._connect_time = to_ms(settings.limits.connect_timeout_ns)
         self._longest = self._idle_time = IDLE_PART * to_ms(settings.limits.conn_idle_ns)
@@ -171,8 +194,14 @@
                 limit = min(self._connect_time, attempt.until - self._clock.now())
                 link = await self._connect(transport.address, limit)
             exchange = self._exchange(attempt, transport)
-            answer = await within(self._clock, attempt.until - self._clock.now(), link.ask(exchange))
+            got = await within(self._clock, attempt.until - self._clock.now(), link.ask(exchange))
             self._note_age(link.aged, False)
+            if exchange.long is None or (got is not None and got.served is None and got.spoilt):
+                assert got is not None
+                answer = got
+            else:
+                answer = exchange.long.answer
+                await self._pass_on(attempt, exchange, exchange.long, link, got)
             if exchange.reusable:
                 self._keep(attempt.server, link)
                 link = None
@@ -198,6 +227,33 @@
                 self._close(link)
         self._report(attempt, answer)
 
+    async def _pass_on(
+        self, attempt: DeliveryAttempt, exchange: Exchange, long: Long, link: Link, answer: Answer | None
+    ) -> None:
+        """A long value to its client, as fast as the client reads it. The attempt has ended by then."""
+        passage = self._begins(attempt, long)
+        if passage is None:  # nobody waits for it any more
+            return
+        whole = False
+        try:
+            while True:
+                await passage.room()
+                passage.write(long.taken())
+                if answer is not None:
+                    whole = answer.outcome is Outcome.OK
+                    break
+                answer = await within(self._clock, SERVER_SILENT, link.more(exchange))
+        except Gone:
+            self._counters.add("passages_left")
+        except (OSError, OutOfTime) as error:
+            self._counters.add("passages_broken")
+            self._log.event("passage_broken", server=attempt.server, id=attempt.id, error=repr(error))
+        finally:
+            if whole:
+                passage.end()
+            else:
+                passage.cut()
+
     def _exchange(self, attempt: DeliveryAttempt, transport: Transport) -> Exchange:
         if transport.origin:
             return OriginExchange(attempt.envelope, f"{transport.address.host}:{transport.address.port}")
@@ -211,7 +267,9 @@
             link = self._take(server, transport) or await self._connect(transport.address, self._connect_time)
             host = f"{transport.address.host}:{transport.address.port}"
             probe: Exchange = OriginProbe(host) if transport.origin else CacheProbe()
-            answer = await within(self._clock, PROBE_TIME, link.ask(probe))
+            got = await within(self._clock, PROBE_TIME, link.ask(probe))
+            assert got is not None  # a report is no long value
+            answer = got
             if probe.reusable:
                 self._keep(server, link)
                 link = None
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -15,7 +15,7 @@
     key: bytes
     extras: bytes  # the list of names and values
     wait_span: tuple[int, int] | None  # where in `extras` the time to wait stands
-    value: bytes | None = None  # of a write
+    value: bytes | bytearray | None = None  # of a write; nobody changes it
     wait_ms: float | None = None  # how long the client waits; None: as long as its class
     cls: int = 0
     tenant: int = 0
@@ -47,9 +47,31 @@
     spoilt: bool = False  # what came could not be read as an answer to this, or a kept connection had ended
 
 
+class Passage(Protocol):
+    """The way of a long value to its client, in pieces. After `begin`, `end` or `cut` is called, once."""
+
+    async def room(self) -> None:
+        """Until more may be written. Raises Gone where the client is, or reads nothing for too long."""
+
+    def write(self, pieces: list[bytes]) -> None: ...
+
+    def end(self) -> None:
+        """The value was whole."""
+
+    def cut(self) -> None:
+        """It was not, and the client shall be able to tell."""
+
+
+class Gone(ConnectionError):
+    """Nobody reads the value that is passed on."""
+
+
 class Reply(Protocol):
     """The sender side's end of a request: exactly one of these is called, once."""
 
+    def begin(self, length: int) -> Passage:
+        """Served with a long value, which is to go through in pieces."""
+
     def served(self, served: Served) -> None: ...
 
     def defer(self, retry_after_ms: float) -> None: ...
@@ -57,6 +79,20 @@
     def failed(self) -> None: ...
 
 
+class Long(Protocol):
+    """A long value that goes through in pieces."""
+
+    @property
+    def length(self) -> int: ...
+
+    @property
+    def answer(self) -> Answer:
+        """What was told ahead of it."""
+
+    def taken(self) -> list[bytes]:
+        """The pieces that may go out now."""
+
+
 class Exchange(Protocol):
     """A question to a server and its answer: a state machine that is fed bytes and knows no socket."""
 
@@ -64,7 +100,11 @@
     def reusable(self) -> bool:
         """Whether the connection may carry another exchange."""
 
-    def question(self) -> list[bytes]: ...
+    @property
+    def long(self) -> "Long | None":
+        """The long value that has begun to come, if any; the answer follows with its end."""
+
+    def question(self) -> list[bytes | bytearray]: ...
 
     def feed(self, data: bytes) -> Answer | None: ...
 
--- a/flintridge/net/listen.py
+++ b/flintridge/net/listen.py
@@ -26,12 +26,18 @@
     def __init__(self, server: asyncio.Server, accepted: Accepted) -> None:
         self._server = server
         self._accepted = accepted
+        self._attaching: dict[asyncio.Task[None], None] = {}  # the loop itself holds tasks weakly only
         self.port: int = server.sockets[0].getsockname()[1]
 
     @property
     def open(self) -> bool:
         return self._server.is_serving()
 
+    @property
+    def attaching(self) -> bool:
+        """Whether connections were accepted that nobody has been told of yet."""
+        return bool(self._attaching)
+
     def close(self) -> int:
         """Accept what waits, then close in the same step; how many were accepted so.
 
@@ -40,17 +46,30 @@
         """
         taken = 0
         if self.open:
-            loop = asyncio.get_running_loop()
             numbers = [listener.fileno() for listener in self._server.sockets]
             copies = [socket.socket(fileno=os.dup(number)) for number in numbers if number >= 0]
             self._server.close()
             for same in copies:
                 while (one := _accept(same)) is not None:
                     taken += 1
-                    _hand_over(loop, one, self._accepted)
+                    self._hand_over(one)
                 same.close()
         return taken
 
+    def _hand_over(self, one: socket.socket) -> None:
+        """As asyncio's server does it with a connection that it accepted."""
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, self._accepted, loop=loop)
+
+        async def attach() -> None:
+            with contextlib.suppress(OSError):  # it ended meanwhile
+                await loop.connect_accepted_socket(lambda: protocol, one)
+
+        task = loop.create_task(attach())
+        self._attaching[task] = None
+        task.add_done_callback(self._attaching.pop)
+
 
 def _accept(listener: socket.socket) -> socket.socket | None:
     while True:
@@ -64,23 +83,6 @@
         return one
 
 
-def _hand_over(loop: asyncio.AbstractEventLoop, one: socket.socket, accepted: Accepted) -> None:
-    """As asyncio's server does it with a connection that it accepted."""
-    reader = asyncio.StreamReader(loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, accepted, loop=loop)
-
-    async def attach() -> None:
-        with contextlib.suppress(OSError):  # it ended meanwhile
-            await loop.connect_accepted_socket(lambda: protocol, one)
-
-    task = loop.create_task(attach())
-    _attaching[task] = None
-    task.add_done_callback(_attaching.pop)
-
-
-_attaching: dict[asyncio.Task[None], None] = {}  # the loop itself holds tasks weakly only
-
-
 async def open_listener(accepted: Accepted, address: Address, shared: bool) -> Listening:
     """`shared`: another process of the same user may listen there as well. Raises NotListening."""
     try:
--- a/flintridge/net/memcache.py
+++ b/flintridge/net/memcache.py
@@ -9,8 +9,10 @@
 
 MAX_LINE = 2048
 MAX_KEY = 250
-MAX_VALUE = 64 * 1024
-MAX_SKIP = 1024 * 1024  # of a value that is too long: read past, so that the connection can go on
+MAX_VALUE = 4 * 1024 * 1024
+LONG = (
+    64 * 1024
+)  # a value beyond this is long: read in pieces that are passed on, written into room kept before
 NUMBER = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
 EOL = b"\r\n"
 
@@ -28,6 +30,21 @@
     fatal: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Announced:
+    """A long value is to come. The parser goes on once `admit` has told it whether there is room."""
+
+    length: int
+
+
+@dataclass(slots=True, frozen=True)
+class PassedOver:
+    """A long value for which there was no room has been read past: to be answered as a refusal."""
+
+
+Command = Envelope | Hello | BadCommand | Announced | PassedOver
+
+
 class Malformed(ValueError):
     pass
 
@@ -53,6 +70,8 @@
         self._scanned = 0  # of the buffer: no line ends before this
         self._skip = 0  # bytes of a refused value still to come
         self._write: tuple[int, list[bytes]] | None = None  # an ms whose value is awaited: length, tokens
+        self._asked = False  # a long value was announced, and whether there is room for it is not told yet
+        self._long: bytearray | None = None  # a long value with its end, as far as it came
         self._dead = False
 
     @property
@@ -60,11 +79,33 @@
         """Whether nothing of a further command has arrived, and nothing is read past."""
         return not self._buffer and self._write is None and not self._skip
 
-    def feed(self, data: bytes) -> list[Envelope | Hello | BadCommand]:
-        found: list[Envelope | Hello | BadCommand] = []
+    @property
+    def in_value(self) -> bool:
+        """Whether what is awaited is the rest of a long value."""
+        return self._long is not None or self._skip > 0
+
+    def feed(self, data: bytes) -> list[Command]:
+        """What is whole now, in order. Raises nothing, whatever `data` is."""
+        if self._long is not None and not self._buffer:
+            return self._fill(data)  # not by way of the buffer: a long value is there once
         self._buffer += data
+        return self._found()
+
+    def admit(self, room: bool) -> list[Command]:
+        """The answer to `Announced`; what is whole then."""
+        assert self._write is not None and self._asked
+        self._asked = False
+        length, _ = self._write
+        if room:
+            self._long = bytearray()
+        else:
+            self._write, self._skip = None, length + 2
+        return self._found()
+
+    def _found(self) -> list[Command]:
+        found: list[Command] = []
         at = 0
-        while not self._dead:
+        while not self._dead and not self._asked:
             at, command, more = self._next(at)
             if command is not None:
                 found.append(command)
@@ -73,27 +114,32 @@
                 break
         if self._dead:
             self._buffer.clear()
+            self._long = None
         else:
             del self._buffer[:at]
             self._scanned -= min(at, self._scanned)
         return found
 
-    def _next(self, at: int) -> tuple[int, Envelope | Hello | BadCommand | None, bool]:
+    def _fill(self, data: bytes) -> list[Command]:
+        assert self._write is not None and self._long is not None
+        length, _ = self._write
+        lacks = length + 2 - len(self._long)
+        if len(data) < lacks:
+            self._long += data
+            return []
+        self._long += memoryview(data)[:lacks]
+        self._buffer += memoryview(data)[lacks:]
+        return self._found()
+
+    def _next(self, at: int) -> tuple[int, Command | None, bool]:
         """One step from `at` on: where the next begins, what was found, and whether there may be more."""
         buffer = self._buffer
         if self._skip:
             step = min(self._skip, len(buffer) - at)
             self._skip -= step
-            return at + step, None, not self._skip
+            return at + step, None if self._skip else PassedOver(), not self._skip
         if self._write is not None:
-            length, tokens = self._write
-            if len(buffer) - at < length + 2:
-                return at, None, False
-            self._write = None
-            end = at + length
-            if buffer[end : end + 2] != EOL:
-                return at, BadCommand("bad data chunk", fatal=True), False
-            return end + 2, self._envelope(tokens, bytes(memoryview(buffer)[at:end])), True
+            return self._value(at, *self._write)
         end = buffer.find(EOL, max(at, self._scanned - 1))
         if end < 0:
             self._scanned = len(buffer)
@@ -105,7 +151,28 @@
             return at, BadCommand("line too long", fatal=True), False
         return end + 2, self._line(bytes(memoryview(buffer)[at:end])), True
 
-    def _line(self, line: bytes) -> Envelope | Hello | BadCommand | None:
+    def _value(self, at: int, length: int, tokens: list[bytes]) -> tuple[int, Command | None, bool]:
+        buffer, long = self._buffer, self._long
+        if long is not None:
+            lacks = min(length + 2 - len(long), len(buffer) - at)
+            long += memoryview(buffer)[at : at + lacks]
+            at += lacks
+            if len(long) < length + 2:
+                return at, None, False
+            self._write = self._long = None
+            if long[length:] != EOL:
+                return at, BadCommand("bad data chunk", fatal=True), False
+            del long[length:]
+            return at, self._envelope(tokens, long), True
+        if len(buffer) - at < length + 2:
+            return at, None, False
+        self._write = None
+        end = at + length
+        if buffer[end : end + 2] != EOL:
+            return at, BadCommand("bad data chunk", fatal=True), False
+        return end + 2, self._envelope(tokens, bytes(memoryview(buffer)[at:end])), True
+
+    def _line(self, line: bytes) -> Command | None:
         tokens = line.split(b" ")
         if tokens == [b"mn"]:
             return Hello()
@@ -117,18 +184,20 @@
             return BadCommand("bad data length", fatal=True)
         length = int(tokens.pop(2))
         if length > MAX_VALUE:
-            self._skip = length + 2
-            return BadCommand("value too large", fatal=length > MAX_SKIP)
+            return BadCommand("value too large", fatal=True)
         self._write = length, tokens
-        return None
+        if length <= LONG:
+            return None
+        self._asked = True
+        return Announced(length)
 
-    def _envelope(self, tokens: list[bytes], value: bytes | None) -> Envelope | BadCommand:
+    def _envelope(self, tokens: list[bytes], value: bytes | bytearray | None) -> Envelope | BadCommand:
         try:
             return self._checked(tokens, value)
         except Malformed as error:
             return BadCommand(str(error))
 
-    def _checked(self, tokens: list[bytes], value: bytes | None) -> Envelope:
+    def _checked(self, tokens: list[bytes], value: bytes | bytearray | None) -> Envelope:
         if len(tokens) < 2 or not 0 < len(tokens[1]) <= MAX_KEY or not _is_text(tokens[1]):
             raise Malformed("bad key")
         flags: dict[bytes, bytes] = {}
@@ -143,7 +212,7 @@
             raise Malformed("bad flag")
         return self._filled(tokens[1], flags[b"O"], flags.get(b"P", b""), value)
 
-    def _filled(self, key: bytes, id_: bytes, extras: bytes, value: bytes | None) -> Envelope:
+    def _filled(self, key: bytes, id_: bytes, extras: bytes, value: bytes | bytearray | None) -> Envelope:
         said: dict[bytes, bytes] = {}
         span, at = None, 0
         for pair in extras.split(b",") if extras else ():
@@ -185,6 +254,11 @@
     return [b"VA %d O" % len(served.body), id_, EOL, served.body, EOL]
 
 
+def passage_head(id_: bytes, length: int) -> bytes:
+    """What stands before a long value that goes through in pieces; EOL ends it."""
+    return b"VA %d O%b\r\n" % (length, id_)
+
+
 def defer_parts(retry_after_ms: float) -> list[bytes]:
     wait = math.ceil(retry_after_ms)
     return [b"SERVER_ERROR busy %d\r\n" % wait if wait > 0 else b"SERVER_ERROR busy\r\n"]
@@ -247,11 +321,57 @@
         del self._buffer[: length + 2]
         return block
 
+    def rest(self) -> bytes:
+        """All that is here; nothing is kept."""
+        rest, self._buffer = bytes(self._buffer), bytearray()
+        return rest
+
     @property
     def empty(self) -> bool:
         return not self._buffer
 
 
+class LongValue:
+    """A long value on its way through: counted, and its last byte kept back until the end was seen.
+
+    Guards the client against taking a value for whole whose end was spoilt: the end was not written then.
+    """
+
+    def __init__(self, length: int, answer: Answer) -> None:
+        self.length = length
+        self.answer = answer  # what its head told; the value is not part of it
+        self._left = length
+        self._end = b""  # what came of the bytes that must follow it
+        self._pieces: list[bytes] = []
+        self._last = b""
+
+    def feed(self, data: bytes, end: bytes) -> bytes | None:
+        """What follows the value and its `end`, once both are whole. Raises Malformed for another end."""
+        if self._left:
+            piece, data = data[: self._left], data[self._left :]
+            self._left -= len(piece)
+            if not self._left:
+                piece, self._last = piece[:-1], piece[-1:]
+            if piece:
+                self._pieces.append(piece)
+            if self._left:
+                return None
+        lacks = len(end) - len(self._end)
+        self._end += data[:lacks]
+        if not end.startswith(self._end):
+            raise Malformed("bad data chunk")
+        if self._end != end:
+            return None
+        self._pieces.append(self._last)
+        self._last = b""
+        return data[lacks:]
+
+    def taken(self) -> list[bytes]:
+        """The pieces that may go out now; they are the caller's."""
+        pieces, self._pieces = self._pieces, []
+        return pieces
+
+
 class CacheExchange:
     """One command passed on to a cache server. A malformed answer ends as an error: it may have run."""
 
@@ -260,9 +380,15 @@
         self._wait_ms = wait_ms
         self._reader = AnswerReader()
         self._value: tuple[int, Answer] | None = None  # the length of a value that is still to come
+        self._long: LongValue | None = None
         self.reusable = False
 
-    def question(self) -> list[bytes]:
+    @property
+    def long(self) -> "LongValue | None":
+        """The long value that has begun to come, from which its pieces are to be taken."""
+        return self._long
+
+    def question(self) -> list[bytes | bytearray]:
         e = self._envelope
         wait = b"%d" % max(1, self._wait_ms)
         if e.wait_span is None:
@@ -276,12 +402,24 @@
         return [b"ms ", e.key, b" %d O" % len(e.value), e.id, *listed, EOL, e.value, EOL]
 
     def feed(self, data: bytes) -> Answer | None:
-        self._reader.feed(data)
         try:
-            return self._step()
+            if self._long is None:
+                self._reader.feed(data)
+                if (answer := self._step()) is not None or self._long is None:
+                    return answer
+                data = self._reader.rest()
+            return self._go_on(self._long, data)
         except Malformed:
             return Answer(Outcome.ERROR, spoilt=True)
 
+    def _go_on(self, long: "LongValue", data: bytes) -> Answer | None:
+        left = long.feed(data, EOL)
+        if left is None:
+            return None
+        self.reusable = not left
+        assert self._value is not None
+        return self._value[1]
+
     def end(self) -> Answer | None:
         return None
 
@@ -296,6 +434,9 @@
                 return answer
         assert self._value is not None
         length, answer = self._value
+        if length > LONG:
+            self._long = LongValue(length, answer)
+            return None
         body = self._reader.block(length)
         if body is None:
             return None
@@ -313,7 +454,7 @@
             return Answer(Outcome.ERROR)
         length = 0
         if kind == b"VA":
-            if not flags or not flags[0].isdigit() or len(flags[0]) > 6 or int(flags[0]) > MAX_VALUE:
+            if not flags or not flags[0].isdigit() or len(flags[0]) > 7 or int(flags[0]) > MAX_VALUE:
                 raise Malformed("bad length")
             length = int(flags.pop(0))
         if kind not in (b"VA", b"HD", b"EN") or flags[:1] != [b"O" + self._envelope.id]:
@@ -343,11 +484,12 @@
     """`stats load`: the load report of a cache server."""
 
     def __init__(self) -> None:
+        self.long = None
         self._reader = AnswerReader()
         self._load: dict[str, float] = {}
         self.reusable = False
 
-    def question(self) -> list[bytes]:
+    def question(self) -> list[bytes | bytearray]:
         return [b"stats load\r\n"]
 
     def feed(self, data: bytes) -> Answer | None:
--- a/flintridge/net/origin.py
+++ b/flintridge/net/origin.py
@@ -1,12 +1,13 @@
 """The origin's HTTP/1.1, by h11: one exchange a state machine, fed bytes."""
 
+from collections.abc import Callable
 from urllib.parse import quote
 
 import h11
 
 from flintridge.api import Outcome
 from flintridge.net.envelope import Answer, Envelope, Served
-from flintridge.net.memcache import MAX_VALUE, load_report
+from flintridge.net.memcache import LONG, MAX_VALUE, LongValue, Malformed, load_report
 
 START = b"HTTP/1."
 
@@ -19,9 +20,11 @@
         method: bytes,
         target: bytes,
         headers: list[tuple[bytes, bytes]],
-        body: bytes = b"",
-        limit: int = MAX_VALUE,
+        body: bytes | bytearray = b"",
+        limit: int = LONG,
+        passes: Callable[[h11.Response], LongValue | None] | None = None,
     ) -> None:
+        """`limit`: bytes of a body that is kept. `passes` says whether one is a long value, which is not."""
         self._head = h11.Request(method=method, target=target, headers=headers)
         self._body = body
         self._limit = limit
@@ -30,12 +33,15 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._first = b""  # bytes of the answer
+        self._passes = passes
+        self.long: LongValue | None = None  # that has begun to come
         self.reusable = False
 
-    def question(self) -> list[bytes]:
-        parts = list(self._connection.send_with_data_passthrough(self._head) or ())
+    def question(self) -> list[bytes | bytearray]:
+        parts: list[bytes | bytearray] = list(self._connection.send_with_data_passthrough(self._head) or ())
         if self._body:
-            parts += self._connection.send_with_data_passthrough(h11.Data(data=self._body)) or ()
+            body = h11.Data(data=self._body)  # type: ignore[arg-type]  # passed through as it is
+            parts += self._connection.send_with_data_passthrough(body) or ()
         parts += self._connection.send_with_data_passthrough(h11.EndOfMessage()) or ()
         return parts
 
@@ -52,6 +58,12 @@
                 return None
             if isinstance(event, h11.Response):
                 self._response = event
+                self.long = self._passes(event) if self._passes else None
+            elif isinstance(event, h11.Data) and self.long is not None:
+                try:
+                    self.long.feed(bytes(event.data), b"")
+                except Malformed as error:
+                    raise h11.RemoteProtocolError(str(error)) from error
             elif isinstance(event, h11.Data):
                 self._size += len(event.data)
                 if self._size > self._limit:
@@ -79,7 +91,11 @@
     def reusable(self) -> bool:
         return self._http.reusable
 
-    def question(self) -> list[bytes]:
+    @property
+    def long(self) -> LongValue | None:
+        return self._http.long
+
+    def question(self) -> list[bytes | bytearray]:
         return self._http.question()
 
     def feed(self, data: bytes) -> Answer | None:
@@ -112,9 +128,21 @@
         self._id = envelope.id
         self._write = envelope.write
         method = b"PUT" if self._write else b"GET"
-        super().__init__(HttpExchange(method, target, headers, envelope.value or b""))
+        passes = None if self._write else self._long
+        super().__init__(HttpExchange(method, target, headers, envelope.value or b"", passes=passes))
+
+    def _long(self, response: h11.Response) -> LongValue | None:
+        """A value that goes through in pieces: its length is told, and all else is as it must be."""
+        told = header(response, b"content-length") or b""
+        good = response.status_code == 200 and header(response, b"req-id") in (None, self._id)
+        if not good or not told.isdigit() or not LONG < int(told) <= MAX_VALUE:
+            return None
+        load = load_report(header(response, b"srv-load") or b"")
+        return LongValue(int(told), Answer(Outcome.OK, load=load))
 
     def _answer(self, response: h11.Response, body: bytes) -> Answer:
+        if self.long is not None:
+            return self.long.answer
         load = load_report(header(response, b"srv-load") or b"")
         if header(response, b"req-id") not in (None, self._id):
             return Answer(Outcome.ERROR, spoilt=True)  # where an answer names its request, it must be this
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -8,24 +8,32 @@
 from flintridge.drain import Drain
 from flintridge.net import memcache
 from flintridge.net.clock import Clock, OutOfTime, sleep, within
-from flintridge.net.core import Core, IdInUse
+from flintridge.net.core import Core, IdInUse, needed
 from flintridge.net.counters import Counters
-from flintridge.net.envelope import Envelope, Served
+from flintridge.net.envelope import Envelope, Gone, Served
 from flintridge.net.listen import Listening, open_listener
 from flintridge.net.log import EventLog
+from flintridge.net.streams import bound_reads
 from flintridge.net.transport_map import TransportMap
 from flintridge.settings import Address
 
 PIPELINED = 16  # commands of a connection that may await their answers; it is read no further meanwhile
 UNREAD = 128 * 1024  # bytes of answers that a client has yet to read; nor is it read beyond this
-SLOW_READER = 5_000.0  # so long it may stay beyond; then it is cut off
+AHEAD = (
+    32 * 1024
+)  # bytes of a long value that a client has yet to read; no more are taken from the server then
+SLOW_READER = 5_000.0  # so long it may read nothing of what is beyond; then it is cut off
+UNFINISHED = 2_600.0  # half a command ends a connection after this: a good client may take 2 s for a head
+LONGEST_VALUE = 20_000.0  # nor may a long value take longer than this to come
+ROOM_TIME = 1_000.0  # so long it may wait for room
 UNUSED = 2_000.0  # a connection with no open request on it is closed after this
 SWEEP = 250.0
 BAD_COMMANDS = 4  # on one connection; it is closed upon the last of them
 PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
 PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
 PARTINGS = 4  # connections beyond the room, of the spare descriptors, that are read past before they end
-LAST_BYTES = 1_000.0  # at the end, for answers that clients are still reading
+LAST_COMMANDS = 2_900.0  # after SIGTERM, until which commands that are half here may become whole
+LAST_BYTES = 3_000.0  # at the end, for answers that clients are still reading
 SERVING = 700.0  # after SIGTERM, until which what arrives is served
 FIRST_WORD = 300.0  # for the first request of a connection that comes while others are closed
 
@@ -33,13 +41,20 @@
 class Slot:
     """The place of one command's answer among those of its connection; the Reply of its request."""
 
-    __slots__ = ("connection", "id", "parts", "uid")
+    __slots__ = ("connection", "id", "parts", "passage", "uid")
 
     def __init__(self, connection: "SenderConnection", id_: bytes = b"") -> None:
         self.connection = connection
         self.id = id_
         self.uid: str | None = None  # of a request that the core holds
         self.parts: list[bytes] | None = None
+        self.passage: ClientPassage | None = None  # while a long value goes through
+
+    def begin(self, length: int) -> "ClientPassage":
+        self.uid = None  # the core holds it no longer
+        self.passage = ClientPassage(self, length)
+        self.connection.flush()
+        return self.passage
 
     def served(self, served: Served) -> None:
         self.fill(memcache.served_parts(self.id, served))
@@ -55,6 +70,41 @@
         self.connection.flush()
 
 
+class ClientPassage:
+    """A long value on its way to a client: in its turn, and no faster than the client reads."""
+
+    def __init__(self, slot: Slot, length: int) -> None:
+        self._slot = slot
+        self._head = memcache.passage_head(slot.id, length)
+        self._turn = asyncio.Event()
+
+    def turn(self) -> None:
+        """All answers before it are written, or the connection has ended."""
+        self._turn.set()
+
+    async def room(self) -> None:
+        await self._turn.wait()
+        try:
+            await self._slot.connection.read_enough()
+        except (OSError, OutOfTime) as error:
+            raise Gone(repr(error)) from error
+
+    def write(self, pieces: list[bytes]) -> None:
+        head, self._head = self._head, b""
+        if head or pieces:
+            self._slot.connection.write([head, *pieces] if head else pieces)
+
+    def end(self) -> None:
+        self._slot.passage = None
+        self._slot.fill([memcache.EOL])
+
+    def cut(self) -> None:
+        """The end of the value is never written: what came is fewer bytes than its head said."""
+        self._slot.passage = None
+        self._slot.connection.close()
+        self._slot.fill([])
+
+
 class SenderConnection:
     """One client's connection."""
 
@@ -75,7 +125,9 @@
         self._ending = False
         self._ceased = False  # nothing more is taken: the drain is nearly over
         self._taking = False  # commands that were read are being taken: there may be more of them
-        writer.transport.set_write_buffer_limits(high=UNREAD)
+        self._kept = 0  # bytes of room for the long value that is coming
+        writer.transport.set_write_buffer_limits(high=AHEAD)
+        bound_reads(writer.transport)
 
     @property
     def idle(self) -> bool:
@@ -104,11 +156,19 @@
             if now - self.used_at >= UNUSED:
                 self._side.counters.add("connections_unused")
                 self.close()
-        elif now - self.begun_at >= UNUSED:
+            return
+        # A long value may come slowly, but it holds memory: it must go on coming.
+        long = self._parser.in_value
+        since = self.used_at if long else self.begun_at
+        if now - since >= UNFINISHED or (long and now - self.begun_at >= LONGEST_VALUE):
             self._side.counters.add("connections_unfinished")
             self._writer.writelines(memcache.bad_command_parts("command not finished in time"))
             self.close()
 
+    @property
+    def closing(self) -> bool:
+        return self._writer.is_closing()
+
     @property
     def unwritten(self) -> bool:
         return self._writer.transport.get_write_buffer_size() > 0
@@ -131,13 +191,11 @@
                     self.heard = True
                     self.begun_at = self.used_at
                 self._taking = True
-                for command in commands:
-                    if not self._take(command):
-                        self._taking = False  # what is behind it is not taken: it may make place
-                        await self._finish()
-                        return
-                    await self._room()
+                going_on = await self._take_all(deque(commands))
                 self._taking = False
+                if not going_on:  # what is behind it is not taken: it may make place
+                    await self._finish()
+                    return
                 if self._side.ceasing:
                     self.cease()
                 self._side.between_requests(self)
@@ -159,29 +217,74 @@
             self._moved.clear()
             await self._moved.wait()
         if self._writer.transport.get_write_buffer_size() > UNREAD:
-            await within(self._side.clock, SLOW_READER, self._writer.drain())
+            await self.read_enough()
+
+    async def read_enough(self) -> None:
+        """Until the client has read most of what was written. Raises OutOfTime where it reads nothing at all,
+        OSError where the connection has ended."""
+        transport = self._writer.transport
+        while True:
+            if transport.is_closing():
+                raise ConnectionResetError("the connection was closed")
+            unread = transport.get_write_buffer_size()
+            try:
+                await within(self._side.clock, SLOW_READER, self._writer.drain())
+                return
+            except OutOfTime:
+                if transport.get_write_buffer_size() >= unread:
+                    raise
+
+    async def _take_all(self, commands: deque[memcache.Command]) -> bool:
+        """Whether the connection goes on."""
+        while commands:
+            command = commands.popleft()
+            if isinstance(command, memcache.Announced):
+                # Nothing is read while it waits: the client's own buffers hold it up.
+                count = needed(command.length)
+                kept = await self._side.core.room.kept(count, ROOM_TIME)
+                self._kept = count if kept else 0
+                self.used_at = self._side.clock.now()
+                commands.extend(self._parser.admit(kept))
+            elif not self._take(command):
+                return False
+            await self._room()
+        return True
 
-    def _take(self, command: Envelope | memcache.Hello | memcache.BadCommand) -> bool:
+    def _take(self, command: Envelope | memcache.Hello | memcache.BadCommand | memcache.PassedOver) -> bool:
         """Whether the connection goes on."""
+        # Room was kept for one long value at a time, and this command is what became of it.
+        kept, self._kept = self._kept, 0
+        try:
+            return self._carry_out(command, kept)
+        except IdInUse:
+            self._side.core.room.give(kept)
+            self._slots[-1].uid = None
+            self._bad += 1
+            self._slots[-1].fill(memcache.bad_command_parts("id in use"))
+        return self._bad < BAD_COMMANDS
+
+    def _carry_out(
+        self, command: Envelope | memcache.Hello | memcache.BadCommand | memcache.PassedOver, kept: int
+    ) -> bool:
         slot = Slot(self, command.id if isinstance(command, Envelope) else b"")
         self._slots.append(slot)
-        if isinstance(command, memcache.BadCommand):
+        if isinstance(command, Envelope):
+            slot.uid = command.id.decode("ascii")
+            self._side.core.submit(command, slot, kept)
+            self.asked = True
+            return True
+        self._side.core.room.give(kept)
+        if isinstance(command, memcache.Hello):
+            slot.fill([memcache.HELLO if self._side.ready else memcache.NOT_YET])
+        elif isinstance(command, memcache.PassedOver):
+            self._side.counters.add("values_without_room")
+            slot.fill(memcache.defer_parts(0.0))
+        else:
             self._side.counters.add("bad_commands")
             self._bad += 1
             slot.fill(memcache.bad_command_parts(command.reason))
             return not command.fatal and self._bad < BAD_COMMANDS
-        if isinstance(command, memcache.Hello):
-            slot.fill([memcache.HELLO if self._side.ready else memcache.NOT_YET])
-            return True
-        try:
-            slot.uid = command.id.decode("ascii")
-            self._side.core.submit(command, slot)
-            self.asked = True
-        except IdInUse:
-            slot.uid = None
-            self._bad += 1
-            slot.fill(memcache.bad_command_parts("id in use"))
-        return self._bad < BAD_COMMANDS
+        return True
 
     def flush(self) -> None:
         """Write what is answered, up to the first command that is not."""
@@ -189,11 +292,17 @@
         while self._slots and (answer := self._slots[0].parts) is not None:
             parts += answer
             self._slots.popleft()
+            self._moved.set()
         if parts and not self._writer.is_closing():
+            self.write(parts)
+            self._side.between_requests(self)
+        if self._slots and (passage := self._slots[0].passage) is not None:
+            passage.turn()
+
+    def write(self, parts: list[bytes]) -> None:
+        if not self._writer.is_closing():
             self._writer.writelines(parts)
             self.used_at = self._side.clock.now()
-            self._moved.set()
-            self._side.between_requests(self)
 
     async def _finish(self) -> None:
         """Framing is lost, or too much was bad: answer what is owed, then close."""
@@ -201,7 +310,7 @@
         while self._slots:
             self._moved.clear()
             await self._moved.wait()
-        await within(self._side.clock, SLOW_READER, self._writer.drain())
+        await self.read_enough()
         with contextlib.suppress(OutOfTime):
             await within(self._side.clock, PARTING, part(self._reader, self._writer))
 
@@ -210,6 +319,10 @@
         for slot in slots:
             if slot.uid is not None and slot.parts is None:
                 self._side.core.gone(slot.uid)
+            if slot.passage is not None:
+                slot.passage.turn()
+        kept, self._kept = self._kept, 0
+        self._side.core.room.give(kept)
         self.close()
 
     def make_place(self) -> None:
@@ -374,12 +487,17 @@
         await sleep(self.clock, SERVING)
         if self._listening is not None:
             self._listening.close()
+        until = self.clock.now() + LAST_COMMANDS - SERVING
         while True:  # each request's own deadline bounds this wait
             # Again each time: a connection that came meanwhile and stays unused must not take a request
             # that this program would end upon.
             self._part()
-            if self.core.idle and not any(connection.owed for connection in self._connections):
-                break
+            if self.core.idle and not any(c.owed for c in self._connections):
+                # Guards those that were accepted last: their first request is on its way, or half here.
+                attaching = self._listening is not None and self._listening.attaching
+                coming = attaching or any(not c.closing for c in self._connections)
+                if not coming or self.clock.now() >= until:
+                    break
             await sleep(self.clock, 20.0)
         for connection in list(self._connections):
             connection.close()  # what was answered is still written out
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -63,6 +63,7 @@
             self.core.attempt_ended,
             log,
             self.counters,
+            self.core.begins,
         )
         self.watch = TransportWatch(
             config.discovery, self.transports, clock, self.core.told, log, self.counters
@@ -99,7 +100,7 @@
         changed = [name for name in names if getattr(new, name) != getattr(old, name)]
         now = {name: getattr(new, name) for name in changed if name in CHANGEABLE}
         self.config = replace(old, **now)  # what holds, whatever else the file says
-        self.core.held_bytes = self.config.held_bytes
+        self.core.room.resize(self.config.held_bytes)
         self.delivery.room, self.side.room = self.config.server_sockets, self.config.client_sockets
         if self.watch.discovery != self.config.discovery:
             self.watch.move(self.config.discovery)
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -145,6 +145,7 @@
 # Of the others, for clients: their requests need a third of all, and each of these an attempt or two. What is
 # more lets those that never ask wait for their end without taking the place of those that do.
 CLIENT_PART = 0.6
+LONGEST_MB = 4.0  # of a value
 BASE_MB = 24.0  # what a node takes with nothing held: 14 to 17 MB were seen
 
 
@@ -176,8 +177,11 @@
 
     @property
     def held_bytes(self) -> int:
-        """Of values in open requests. A value is there up to three times: taken in, on its way, answered."""
-        return int(max(1.0, (self.memory_mb - BASE_MB) / 4) * 1024 * 1024)
+        """Room for the values of writes: a third of what a node has beyond its own, but always a longest one.
+
+        Another third is for what is on its way to clients, in short answers and in pieces of long ones.
+        """
+        return int(max(LONGEST_MB, (self.memory_mb - BASE_MB) / 3) * 1024 * 1024)
 
     @property
     def _spare(self) -> int:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -61,6 +61,31 @@
         self[2] = None
 
 
+class Passing:
+    """A Passage that remembers; `open` lets pieces through."""
+
+    def __init__(self, length: int) -> None:
+        self.length = length
+        self.pieces: list[bytes] = []
+        self.open = asyncio.Event()
+        self.open.set()
+        self.ended: str | None = None
+
+    async def room(self) -> None:
+        await self.open.wait()
+
+    def write(self, pieces: list[bytes]) -> None:
+        self.pieces += pieces
+
+    def end(self) -> None:
+        assert self.ended is None
+        self.ended = "whole"
+
+    def cut(self) -> None:
+        assert self.ended is None
+        self.ended = "cut"
+
+
 class Replies:
     """A Reply that remembers."""
 
@@ -70,6 +95,10 @@
     def served(self, served: Served) -> None:
         self.said.append(served.body)
 
+    def begin(self, length: int) -> "Passing":
+        self.said.append(passing := Passing(length))
+        return passing
+
     def defer(self, retry_after_ms: float) -> None:
         self.said.append(("busy", retry_after_ms))
 
--- a/tests/test_net_core.py
+++ b/tests/test_net_core.py
@@ -209,3 +209,24 @@
     node.ask(uid="a1")
     node.ask(uid="a2")
     assert node.replies.said == [("busy", 0.0)] and not node.core.idle
+
+
+def test_a_long_value_is_its_requests_one_answer_from_its_first_piece_on():
+    node = Node()
+    node.on(api.Request, SEND)
+    node.ask()
+    (attempt,) = node.attempts
+    node.clock.go(30)
+
+    class Long:
+        length, answer = 100_000, Answer(Outcome.OK, note=1)
+
+    passage = node.core.begins(attempt, Long())
+    assert node.replies.said == [passage] and passage.length == 100_000
+    assert node.script.ends() == [(0, Outcome.OK, True)] and node.core.idle
+    assert node.script.events[-1][1].latency_ns == to_ns(30)
+    node.core.attempt_ended(attempt, Answer(Outcome.RESET))  # a break on the way: nothing more is told
+    node.core.gone("a1")
+    node.clock.go(5000)
+    assert len(node.script.ends()) == 1 and len(node.replies.said) == 1
+    assert node.core.begins(attempt, Long()) is None
