--- a/flintridge/net/memcache.py
+++ b/flintridge/net/memcache.py
@@ -267,6 +267,7 @@
 FAILED = b"SERVER_ERROR failed\r\n"
 HELLO = b"MN\r\n"
 NOT_YET = b"SERVER_ERROR starting\r\n"
+NO_MORE = b"SERVER_ERROR draining\r\n"
 
 
 def bad_command_parts(reason: str) -> list[bytes]:
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -275,7 +275,7 @@
             return True
         self._side.core.room.give(kept)
         if isinstance(command, memcache.Hello):
-            slot.fill([memcache.HELLO if self._side.ready else memcache.NOT_YET])
+            slot.fill([self._side.hello])
         elif isinstance(command, memcache.PassedOver):
             self._side.counters.add("values_without_room")
             slot.fill(memcache.defer_parts(0.0))
@@ -378,9 +378,11 @@
         return self._listening is not None and self._listening.open and self._transports.serving
 
     @property
-    def ready(self) -> bool:
-        """Whether clients may come: what `mn` is told."""
-        return self.drain.welcoming and self.serving
+    def hello(self) -> bytes:
+        """The answer to `mn`."""
+        if not self.drain.welcoming:
+            return memcache.NO_MORE
+        return memcache.HELLO if self.serving else memcache.NOT_YET
 
     @property
     def connections(self) -> int:
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, fields, replace
+from pathlib import Path
 
 from flintridge.decide import Balancer
 from flintridge.drain import Drain, State
@@ -16,8 +17,9 @@
 from flintridge.net.delivery import Delivery
 from flintridge.net.log import EventLog
 from flintridge.net.sender import SenderSide
+from flintridge.net.siblings import Siblings
 from flintridge.net.transport_map import TransportMap, TransportWatch, known_list
-from flintridge.settings import NodeConfig
+from flintridge.settings import LONGEST_MB, NodeConfig
 
 CHANGEABLE = ("discovery", "sockets", "memory_mb")  # without a restart
 
@@ -44,7 +46,9 @@
         log: EventLog,
         counters: Counters | None = None,
         module: Module | None = None,
+        shared: Path | None = None,
     ) -> None:
+        """`shared`: the folder in which the processes of one node meet; None where there is only this one."""
         self.config = config
         self.clock = clock
         self.log = log
@@ -75,6 +79,11 @@
         )
         self.console = Console(self._routes(), clock, log, self.counters)
         self._closed = False
+        listen = config.listen
+        self._siblings: Siblings | None = None
+        if shared is not None and listen.port:
+            folder = shared / f"flintridge-{listen.host.replace(':', '_')}-{listen.port}"
+            self._siblings = Siblings(folder, clock, log, lambda _: self._deal_out())
 
     async def start(self) -> int:
         """Take the known list in and open the console and the listener; the listener's port.
@@ -85,6 +94,8 @@
         if self.config.console is not None:
             port = await self.console.listen(self.config.console)
             self.log.event("console", host=self.config.console.host, port=port)
+        if self._siblings is not None:
+            self._siblings.start()
         self.core.told(self._known)
         listen = self.config.listen
         port = await self.side.listen(listen)
@@ -100,14 +111,24 @@
         changed = [name for name in names if getattr(new, name) != getattr(old, name)]
         now = {name: getattr(new, name) for name in changed if name in CHANGEABLE}
         self.config = replace(old, **now)  # what holds, whatever else the file says
-        self.core.room.resize(self.config.held_bytes)
-        self.delivery.room, self.side.room = self.config.server_sockets, self.config.client_sockets
+        self._deal_out()
         if self.watch.discovery != self.config.discovery:
             self.watch.move(self.config.discovery)
         done = Reloaded(tuple(now), tuple(name for name in changed if name not in now))
         self.log.event("reloaded", changed=list(done.changed), until_restart=list(done.until_restart))
         return done
 
+    def _deal_out(self) -> None:
+        """What this process may hold: the node's limits, in equal parts while several processes are the node.
+
+        Nothing that is open is closed for it. What is beyond makes place as others come.
+        """
+        count = 1 if self._siblings is None else self._siblings.count
+        config = self.config
+        self.core.room.resize(max(int(LONGEST_MB * 1024 * 1024), config.held_bytes // count))
+        self.delivery.room = config.server_sockets // count
+        self.side.room = config.client_sockets // count
+
     def refuse_reload(self, error: Exception) -> None:
         """A configuration that cannot be read changes nothing; it is counted and told."""
         self.counters.add("reloads")
@@ -183,6 +204,8 @@
         self._closed = True
         self.side.close()
         self.console.close()
+        if self._siblings is not None:
+            self._siblings.close()
         await self.watch.close()
         await self.delivery.close()
         self.core.close()
