--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import sys
-from pathlib import Path
 
 from flintridge.net.clock import SystemClock
 from flintridge.net.listen import NotListening
@@ -23,7 +22,7 @@
     # Guards the start: a SIGHUP that comes while the node is put together would end the program. What is
     # signalled until the loop goes on is carried out by the handler that stands then.
     loop.add_signal_handler(signal.SIGHUP, log.event, "reload_early")
-    node = Node(config, SystemClock(loop), log, shared=Path(os.environ.get("TMPDIR") or "/tmp"))
+    node = Node(config, SystemClock(loop), log, shared=os.environ.get("TMPDIR") or "/tmp")
     loop.add_signal_handler(signal.SIGHUP, _reload, node)
     loop.add_signal_handler(signal.SIGUSR1, node.tell_counters)
     await node.start()
--- a/flintridge/net/room.py
+++ b/flintridge/net/room.py
@@ -25,6 +25,8 @@
 
     def give(self, count: int) -> None:
         """Give back what was taken; whoever waits may have it."""
+        if not count:
+            return
         self.used -= count
         assert self.used >= 0, "more room was given back than taken"
         self._hand_out()
--- a/flintridge/net/siblings.py
+++ b/flintridge/net/siblings.py
@@ -4,10 +4,10 @@
 ends; a file whose lock can be had is what a dead one left, and is removed.
 """
 
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable
-from pathlib import Path
 
 from flintridge.net.clock import Clock, Timer
 from flintridge.net.log import EventLog
@@ -18,7 +18,7 @@
 class Siblings:
     """How many processes of this node live, this one included. Times are float milliseconds of `clock`."""
 
-    def __init__(self, folder: Path, clock: Clock, log: EventLog, changed: Callable[[int], None]) -> None:
+    def __init__(self, folder: str, clock: Clock, log: EventLog, changed: Callable[[int], None]) -> None:
         """`changed` is told the number whenever it is another than before; at first it is 1."""
         self.count = 1
         self._folder = folder
@@ -26,16 +26,16 @@
         self._log = log
         self._changed = changed
         self._number = -1  # the descriptor that holds the lock
-        self._path: Path | None = None
+        self._path: str | None = None
         self._timer: Timer | None = None
 
     def start(self) -> None:
         """Be counted, and count. A folder that cannot be used is told; this process then counts as alone."""
         try:
-            self._folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+            os.makedirs(self._folder, mode=0o700, exist_ok=True)
             self._hold()
         except OSError as error:
-            self._log.event("siblings_unknown", folder=str(self._folder), error=str(error))
+            self._log.event("siblings_unknown", folder=self._folder, error=str(error))
             return
         self._look()
 
@@ -43,14 +43,14 @@
         if self._timer is not None:
             self._timer.cancel()
         if self._path is not None:
-            self._path.unlink(missing_ok=True)
+            _remove(self._path)
             os.close(self._number)
             self._path = None
 
     def _hold(self) -> None:
         turn = 0
         while self._path is None:
-            path = self._folder / f"{os.getpid()}-{turn}"
+            path = os.path.join(self._folder, f"{os.getpid()}-{turn}")
             turn += 1
             number = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             # Guards the moment between the two calls: another process may have had the lock, and the file for
@@ -63,9 +63,10 @@
     def _look(self) -> None:
         self._timer = self._clock.call_at(self._clock.now() + LOOK, self._look)
         try:
-            count = 1 + sum(self._lives(path) for path in self._folder.iterdir() if path != self._path)
+            paths = [os.path.join(self._folder, name) for name in os.listdir(self._folder)]
+            count = 1 + sum(self._lives(path) for path in paths if path != self._path)
         except OSError as error:
-            self._log.event("siblings_unknown", folder=str(self._folder), error=str(error))
+            self._log.event("siblings_unknown", folder=self._folder, error=str(error))
             return
         if count != self.count:
             self.count = count
@@ -73,7 +74,7 @@
             self._changed(count)
 
     @staticmethod
-    def _lives(path: Path) -> bool:
+    def _lives(path: str) -> bool:
         try:
             number = os.open(path, os.O_RDWR | os.O_CLOEXEC)
         except OSError:
@@ -81,7 +82,7 @@
         try:
             if not _locked(number):
                 return True
-            path.unlink(missing_ok=True)
+            _remove(path)
             return False
         finally:
             os.close(number)
@@ -96,8 +97,13 @@
     return True
 
 
-def _same(number: int, path: Path) -> bool:
+def _remove(path: str) -> None:
+    with contextlib.suppress(FileNotFoundError):  # another process was quicker
+        os.unlink(path)
+
+
+def _same(number: int, path: str) -> bool:
     try:
-        return os.path.samestat(os.fstat(number), path.stat())
+        return os.path.samestat(os.fstat(number), os.stat(path))
     except FileNotFoundError:
         return False
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -4,14 +4,15 @@
 what serves. It reads no file, minds no signal and keeps nothing at module level.
 """
 
+from __future__ import annotations
+
+import os
 from dataclasses import dataclass, fields, replace
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 from flintridge.decide import Balancer
 from flintridge.drain import Drain, State
-from flintridge.fronts.console import Routes, Said
 from flintridge.net.clock import Clock
-from flintridge.net.console import Console
 from flintridge.net.core import Core, Module
 from flintridge.net.counters import Counters
 from flintridge.net.delivery import Delivery
@@ -21,6 +22,10 @@
 from flintridge.net.transport_map import TransportMap, TransportWatch, known_list
 from flintridge.settings import LONGEST_MB, NodeConfig
 
+if TYPE_CHECKING:
+    from flintridge.fronts.console import Routes, Said
+    from flintridge.net.console import Console
+
 CHANGEABLE = ("discovery", "sockets", "memory_mb")  # without a restart
 
 
@@ -46,7 +51,7 @@
         log: EventLog,
         counters: Counters | None = None,
         module: Module | None = None,
-        shared: Path | None = None,
+        shared: str | None = None,
     ) -> None:
         """`shared`: the folder in which the processes of one node meet; None where there is only this one."""
         self.config = config
@@ -77,12 +82,12 @@
         self.side = SenderSide(
             self.core, settings, self.transports, clock, config.client_sockets, log, self.counters, self.drain
         )
-        self.console = Console(self._routes(), clock, log, self.counters)
+        self.console: Console | None = None
         self._closed = False
         listen = config.listen
         self._siblings: Siblings | None = None
         if shared is not None and listen.port:
-            folder = shared / f"flintridge-{listen.host.replace(':', '_')}-{listen.port}"
+            folder = os.path.join(shared, f"flintridge-{listen.host.replace(':', '_')}-{listen.port}")
             self._siblings = Siblings(folder, clock, log, lambda _: self._deal_out())
 
     async def start(self) -> int:
@@ -92,6 +97,9 @@
         """
         # Before anything else: what cannot have its console must not have taken a single connection.
         if self.config.console is not None:
+            from flintridge.net.console import Console  # not held by a node that has none
+
+            self.console = Console(self._routes(), self.clock, self.log, self.counters)
             port = await self.console.listen(self.config.console)
             self.log.event("console", host=self.config.console.host, port=port)
         if self._siblings is not None:
@@ -203,7 +211,8 @@
             return
         self._closed = True
         self.side.close()
-        self.console.close()
+        if self.console is not None:
+            self.console.close()
         if self._siblings is not None:
             self._siblings.close()
         await self.watch.close()
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -122,12 +122,14 @@
 
     @classmethod
     def parse(cls, text: Any) -> "Address":
-        if not isinstance(text, str):
-            raise ValueError(f"{text!r} is not an address")
-        host, _, port = text.rpartition(":")
-        ipaddress.ip_address(host.strip("[]"))  # names cannot be resolved where nodes run
-        if not port.isdecimal() or not 0 <= int(port) < 65536:
-            raise ValueError(f"{text!r} has no port")
+        host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+        try:
+            ipaddress.ip_address(host.strip("[]"))  # names cannot be resolved where nodes run
+            if not port.isdecimal() or not 0 <= int(port) < 65536:
+                raise ValueError("no port")
+        except ValueError as error:
+            allowed = "a numeric address with a port, as 10.0.0.4:11211"
+            raise ValueError(f"{text!r} must be {allowed}") from error
         return cls(host.strip("[]"), int(port))
 
     def __str__(self) -> str:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -6,13 +6,14 @@
 import os
 import signal
 import socket
+import sys
 
 import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from net_helpers import FIXED, HandClock, Peer, quiet, until
-from test_net_program import Program, cache
+from test_net_program import ROOT, Program, cache
 
 from flintridge.fronts.console import MAX_BODY, MAX_HEAD, ConsoleExchange
 from flintridge.lab import virtual
@@ -173,6 +174,8 @@
                 assert await reader.readline() == b"SERVER_ERROR draining\r\n"
                 assert await reader.read() == b"VA 4 Oa1\r\nmenu\r\n"  # served, then closed
                 await program.event("drained")
+                program.process.send_signal(signal.SIGHUP)
+                await program.event("reloaded")  # and it stays drained
                 status, said = await call(door, "GET", "/admin/health")
                 assert (status, said["state"]) == (200, "drained")
                 assert await call(door, "POST", "/admin/resume") == (200, {"state": "serving"})
@@ -249,3 +252,67 @@
                         os.kill(program.process.pid, signal.SIGKILL)
 
     asyncio.run(test())
+
+
+def test_a_new_version_that_cannot_start_says_why_and_the_old_one_goes_on(tmp_path):
+    async def test():
+        async with Peer(cache) as box, Peer(lambda _: b"") as discovery:
+            program = Program(tmp_path, {"box": box}, discovery)
+            port, door = free_port(), free_port()
+            held = json.loads(program.config.read_text()) | {"listen": f"127.0.0.1:{port}"}
+            program.config.write_text(json.dumps(held | {"console": f"127.0.0.1:{door}"}))
+            await program.start()
+            try:
+                for changes, code, said in (
+                    ({"console": f"127.0.0.1:{door}"}, 1, f"127.0.0.1:{door}: Address already in use"),
+                    ({"console": "here"}, 2, "console: 'here'"),
+                    ({"console": f"127.0.0.1:{port}"}, 2, f"console: 127.0.0.1:{port} is listen"),
+                ):
+                    path = tmp_path / "new.json"
+                    path.write_text(json.dumps(held | changes))
+                    new = await asyncio.create_subprocess_exec(
+                        sys.executable, "-m", "flintridge", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                        stdout=asyncio.subprocess.DEVNULL, env={**os.environ, "PROXY_CONFIG": str(path)},
+                    )  # fmt: skip
+                    line = (await new.stderr.read()).decode()
+                    assert await new.wait() == code
+                    assert line.startswith(f"flintridge: {said}") and line.count("\n") == 1
+                    status, state = await call(door, "GET", "/admin/health")
+                    assert (status, state["state"]) == (200, "serving")
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                    writer.write(b"mg kept v Oa1 Pc=read,d=9000\r\n")
+                    assert await reader.readline() == b"VA 4 Oa1\r\n"
+                    writer.close()
+            finally:
+                program.process.kill()
+                await program.process.wait()
+
+    asyncio.run(test())
+
+
+def test_a_call_is_answered_within_few_turns_of_a_loop_that_is_never_idle():
+    """A thousand callbacks in each turn hold the console up only by what they themselves take."""
+
+    async def test():
+        clock, (log, counters) = HandClock(), quiet()
+        console = Console(routes(), clock, log, counters)
+        port = await console.listen(Address("127.0.0.1", 0))
+        loop, turns, over = asyncio.get_running_loop(), 0, False
+
+        def turn() -> None:
+            nonlocal turns
+            turns += 1
+            if not over:
+                for _ in range(1000):
+                    loop.call_soon(int)
+                loop.call_soon(turn)
+
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        loop.call_soon(turn)
+        writer.write(HEALTH)
+        assert (await reader.read()).startswith(b"HTTP/1.1 200")
+        over = True
+        assert turns <= 100
+        console.close()
+
+    asyncio.run(test())
--- a/tests/test_siblings.py
+++ b/tests/test_siblings.py
@@ -14,11 +14,10 @@
 
 HOLDER = """
 import sys
-from pathlib import Path
 sys.path.insert(0, "tests")
 from net_helpers import HandClock, quiet
 from flintridge.net.siblings import Siblings
-Siblings(Path(sys.argv[1]), HandClock(), quiet()[0], print).start()
+Siblings(sys.argv[1], HandClock(), quiet()[0], print).start()
 print("held", flush=True)
 sys.stdin.read()
 """
@@ -35,7 +34,7 @@
 
 def siblings(folder):
     clock, told = HandClock(), []
-    one = Siblings(folder, clock, quiet()[0], told.append)
+    one = Siblings(str(folder), clock, quiet()[0], told.append)
     one.start()
     return one, clock, told
 
@@ -84,7 +83,7 @@
         {},
     )  # fmt: skip
     clock, (log, _) = HandClock(), quiet()
-    nodes = [Node(config, clock, log, shared=tmp_path) for _ in range(2)]
+    nodes = [Node(config, clock, log, shared=str(tmp_path)) for _ in range(2)]
     for node in nodes:
         node._siblings.start()
     clock.go(LOOK)
