Play drains by operators in the lab, and judge that they drain and end

Two planted defects, drain_ignored and stays_drained, are caught by it, and a sound node is not. Not taken: the loopback backend, whose processes would need a console each; there it is refused with the reason.

--- a/flintridge/lab/backend/processes.py
+++ b/flintridge/lab/backend/processes.py
@@ -252,6 +252,12 @@
             self._say(node, "resumed")
             self._lives[node][-1].send(signal.SIGCONT)
 
+    def quiesce(self, node: str) -> None:
+        raise NotImplementedError("node_drain is played in virtual time only: no console is opened here")
+
+    def unquiesce(self, node: str) -> None:
+        raise NotImplementedError("node_drain is played in virtual time only: no console is opened here")
+
     def running(self, node: str) -> bool:
         """Also while it leaves after SIGTERM, not once it was killed."""
         if node not in self._lives:
--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -225,6 +225,24 @@
             self._say(node, "resumed")
             self._fabric.network.host(node).resume()
 
+    def quiesce(self, node: str) -> None:
+        self._call(node, "quiesced", lambda served: served.quiesce())
+
+    def unquiesce(self, node: str) -> None:
+        self._call(node, "back", lambda served: served.resume())
+
+    def _call(self, name: str, said: str, call: Callable[[Node], object]) -> None:
+        """What a call at the console does, in the node's own process."""
+        node = self._lives[name].node if self.running(name) else None
+        if node is None:  # not put together yet: nobody would answer the call
+            return
+
+        async def carry_out() -> None:
+            call(node)
+
+        self._say(name, said)
+        self._fabric.network.host(name).run(carry_out())
+
     def running(self, node: str) -> bool:
         return node in self._ended and not self._ended[node].is_set()
 
--- a/flintridge/lab/defects/planted.py
+++ b/flintridge/lab/defects/planted.py
@@ -162,6 +162,16 @@
     put(node.side, "leave", stay)
 
 
+def drain_ignored(node: Node) -> None:
+    """The call to drain is told yes, and nothing is done."""
+    put(node, "quiesce", lambda: True)
+
+
+def stays_drained(node: Node) -> None:
+    """The end of a drain is told yes, and the node stays drained."""
+    put(node, "resume", lambda: True)
+
+
 def breaks_on_leaving(node: Node) -> None:
     """After SIGTERM all is answered, but then the program ends by an error."""
 
--- a/flintridge/lab/defects/table.py
+++ b/flintridge/lab/defects/table.py
@@ -74,6 +74,10 @@
     "length_s": 5.0,
 }
 RESTART = {"faults": [{"what": "node_restart", "at_s": 5.0, "for_s": 5.0, "nodes": [0]}]}
+NODE_DRAIN = {
+    "faults": [{"what": "node_drain", "at_s": 2.0, "for_s": 5.0, "nodes": [0]}],
+    "length_s": 12.0,
+}
 # The servers are busy, so that there is always something open when SIGTERM comes.
 BUSY_RESTART = {**RESTART, "classes": [_class("read", work_ms=100.0)], "load": {"rate_per_s": 90.0}}
 DRAIN = {"faults": [{"what": "drain", "at_s": 2.0, "for_s": 8.0, "count": 2}], "length_s": 14.0}
@@ -118,5 +122,7 @@
     "attempts_without_cap": _defect(planted.attempts_without_cap, "attempts", hints=ERRORS),
     "asks_after_the_answer": _defect(planted.asks_after_the_answer, "after_answer"),
     "slow_to_leave": _defect(planted.slow_to_leave, "stopped", hints=RESTART),
+    "drain_ignored": _defect(planted.drain_ignored, "quiesced", hints=NODE_DRAIN),
+    "stays_drained": _defect(planted.stays_drained, "quiesced", hints=NODE_DRAIN),
     "breaks_on_leaving": _defect(planted.breaks_on_leaving, "stopped", hints=RESTART),
 }
--- a/flintridge/lab/experiment/space.py
+++ b/flintridge/lab/experiment/space.py
@@ -435,6 +435,7 @@
     _of_nodes(model.NodeKill, 0.5),
     _of_nodes(model.NodeRestart, 0.3),
     _of_nodes(model.NodePause, 0.15),
+    _of_nodes(model.NodeDrain, 0.3),
     _reload,
     _lasting(model.BadClients, per_s=_part(1, 20)),
 )
--- a/flintridge/lab/fabric.py
+++ b/flintridge/lab/fabric.py
@@ -90,6 +90,12 @@
 
     def resume(self, node: str) -> None: ...
 
+    def quiesce(self, node: str) -> None:
+        """Drain it, as its operators' console does. Raises NotImplementedError where there is no console."""
+
+    def unquiesce(self, node: str) -> None:
+        """End the drain."""
+
     def running(self, node: str) -> bool: ...
 
     async def ended(self, node: str) -> None:
--- a/flintridge/lab/faults/check.py
+++ b/flintridge/lab/faults/check.py
@@ -195,6 +195,7 @@
 _RULES: dict[type[m.Fault], Callable[[m.Scenario, Any], Iterator[str]]] = {
     m.NodeKill: _numbers,
     m.NodeRestart: _numbers,
+    m.NodeDrain: _numbers,
     m.NodePause: _numbers,
     m.Reload: _numbers,
     m.ZoneLoss: _zone,
--- a/flintridge/lab/faults/nodes.py
+++ b/flintridge/lab/faults/nodes.py
@@ -51,6 +51,14 @@
         if self._nodes.running(node):
             self._nodes.term(node)
 
+    def quiesce(self, node: str) -> None:
+        if self._nodes.running(node):
+            self._nodes.quiesce(node)
+
+    def unquiesce(self, node: str) -> None:
+        if self._nodes.running(node):
+            self._nodes.unquiesce(node)
+
     async def end(self, node: str, since: float) -> None:
         """Until it has ended after a SIGTERM at `since` (ms); it is killed if it takes too long."""
         left_ms = since + self._patience_ms - self._clock.now()
--- a/flintridge/lab/faults/timeline.py
+++ b/flintridge/lab/faults/timeline.py
@@ -128,7 +128,7 @@
         world, rng = self._world, self._rngs[number]
         if isinstance(fault, m.Chosen):
             return On(fault, tuple(choose_servers(fault, self._candidates(), rng)))
-        if isinstance(fault, (m.NodeKill, m.NodeRestart, m.NodePause, m.Reload)):
+        if isinstance(fault, (m.NodeKill, m.NodeRestart, m.NodeDrain, m.NodePause, m.Reload)):
             return On(fault, nodes=tuple(choose_nodes(fault.nodes, fault.count, world.nodes, rng)))
         if isinstance(fault, m.ZoneLoss):
             servers = tuple(name for name, host in world.servers.items() if host.zone == fault.zone)
@@ -146,6 +146,9 @@
             for node in on.nodes:
                 self._nodes.term(node)
             self._side.append(asyncio.ensure_future(self._restart_nodes(number, on)))
+        elif isinstance(fault, m.NodeDrain):
+            for node in on.nodes:
+                self._nodes.quiesce(node)
         await self._apply()
         if isinstance(fault, m.Drain):
             self._plan(fault.at_s * 1000 + fault.for_s * 1000, ENDS, partial(self._end_drain, number, on))
@@ -160,6 +163,9 @@
         on = self._active.on.pop(number, None)
         self._say(number, False)
         lost = on.fault if on is not None else None
+        if on is not None and isinstance(lost, m.NodeDrain):
+            for node in on.nodes:
+                self._nodes.unquiesce(node)
         cold = on is not None and isinstance(lost, m.ZoneLoss) and lost.how != "die" and lost.cold
         await self._apply(cold=on.servers if on is not None and cold else ())
 
--- a/flintridge/lab/judge/rules/process.py
+++ b/flintridge/lab/judge/rules/process.py
@@ -6,9 +6,9 @@
 from flintridge.lab.judge.facts import Day
 from flintridge.lab.judge.findings import Findings
 from flintridge.lab.judge.lives import SERVES_ON_MS, Life
-from flintridge.lab.records import BadClient, Connections, NodeSaid
+from flintridge.lab.records import Asked, BadClient, Connections, NodeSaid
 
-RULES = ("stopped", "leak", "bad_clients", "unready")
+RULES = ("stopped", "leak", "bad_clients", "unready", "quiesced")
 
 LAST_MS = 250.0  # for writing out the last answers, and for the end of the process
 IDLE = 2.0  # times the connections that would do, and
@@ -16,6 +16,8 @@
 CLIMB = 1.5  # times the most of the day's first quarter, and
 CLIMB_BY = 50  # more connections in its last one
 QUARTERS = 4
+DRAINED_MS = 2000.0  # after the call to drain, from when on a node takes no more requests
+BACK_MS = 2000.0  # after the end of a drain, until which a node says yes again
 
 
 def check(day: Day, findings: Findings) -> None:
@@ -23,6 +25,7 @@
         for life in day.lives.by_node[node]:
             _stopped(day, life, findings)
     _leaks(day, findings)
+    _quiesced(day, findings)
     for record in day.records:
         if isinstance(record, BadClient) and record.got == "served":
             text = f"{record.node} served a client that sent what cannot be read ({record.kind})"
@@ -52,6 +55,32 @@
             found(limit, f"had not ended {limit - term.t:.0f} ms after SIGTERM")
 
 
+def _quiesced(day: Day, findings: Findings) -> None:
+    """A node told to drain sends its clients away, and takes them again soon after the drain's end."""
+    ends = ("back", "term", "killed", "exited", "stuck", "started")
+    said = [r for r in day.records if isinstance(r, NodeSaid)]
+    for i, call in enumerate(said):
+        if call.state != "quiesced":
+            continue
+        end = next((r for r in said[i + 1 :] if r.node == call.node and r.state in ends), None)
+        until = day.end if end is None else end.t
+        since = call.t + DRAINED_MS + day.slacks.limit
+        for record in day.records:
+            if isinstance(record, Asked) and record.node == call.node and since < record.t < until:
+                text = (
+                    f"{call.node} still takes requests {record.t - call.t:.0f} ms after it was told to drain"
+                )
+                findings.add("quiesced", record.t, text, [call, record], node=call.node)
+                break
+        if end is None or end.state != "back":
+            continue
+        limit = end.t + BACK_MS + day.slacks.limit
+        after = [r for r in said[said.index(end) + 1 :] if r.node == call.node and r.t <= limit]
+        if limit < day.end and not any(r.state in ("ready", *ends) for r in after):
+            text = f"{call.node} had not said yes {limit - end.t:.0f} ms after the end of its drain"
+            findings.add("quiesced", limit, text, [call, end], node=call.node)
+
+
 # Connections
 
 
--- a/flintridge/lab/load/front.py
+++ b/flintridge/lab/load/front.py
@@ -13,6 +13,7 @@
 POLL_MS = 100.0
 POLL_LIMIT_MS = 1000.0  # for one poll; a node that is paused answers none
 TERM_MS = (200.0, 400.0)  # after SIGTERM, until which new connections still go to a node
+DRAIN_MS = 200.0  # after a node's no, until which new connections still go to it
 MACHINE = "c0"  # whose links the polls go over
 
 
@@ -95,6 +96,11 @@
         after = draw(self._rng, TERM_MS)
         self._fabric.clock.call_later(after, self._stop_using, node, self._life[node])
 
+    def node_quiesced(self, node: str) -> None:
+        """It was told to drain. It is asked `mn` every 0.1 s, until it has said no and yes again."""
+        self._stop_poll(node)
+        self._polls[node] = asyncio.ensure_future(self._poll_drain(node))
+
     # What clients ask
 
     def choose(self, zone: str, share: float) -> str | None:
@@ -155,6 +161,14 @@
         self._log.add(NodeSaid(t=self._fabric.clock.now(), node=node, state="ready"))
         self._use(node, True)
 
+    async def _poll_drain(self, node: str) -> None:
+        while await self._hello(node):
+            await asyncio.sleep(POLL_MS / 1000)
+        await asyncio.sleep(DRAIN_MS / 1000)
+        self._ready[node] = False
+        self._use(node, False)
+        await self._poll(node)
+
     async def _hello(self, node: str) -> bool:
         hello = Hello()
         try:
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -20,7 +20,7 @@
 from flintridge.lab.load.trace import write as write_trace
 from flintridge.lab.records import Log, NodeSaid
 from flintridge.lab.result import Result
-from flintridge.lab.scenario.model import Scenario, Span
+from flintridge.lab.scenario.model import NodeDrain, Scenario, Span
 from flintridge.lab.seeds import Seeds
 from flintridge.lab.truth import Truth
 from flintridge.lab.virtual import Network, Stuck, VirtualLoop
@@ -53,6 +53,8 @@
         raise ValueError(f"backend: {backend!r}: one of {', '.join(BACKENDS)}")
     if defect is not None and (backend != "virtual" or defect not in DEFECTS):
         raise ValueError(f"defect: {defect!r}: one of {', '.join(sorted(DEFECTS))}, on the virtual backend")
+    if backend != "virtual" and any(isinstance(fault, NodeDrain) for fault in scenario.faults):
+        raise ValueError(f"faults: node_drain: on the virtual backend only, and this is {backend!r}")
     began, cpu = time.perf_counter(), time.process_time()
     log = Log()
     requests: list[Drawn] = []
@@ -145,6 +147,13 @@
     def resume(self, node: str) -> None:
         self._runner.resume(node)
 
+    def quiesce(self, node: str) -> None:
+        self._runner.quiesce(node)
+        self._load.front.node_quiesced(node)
+
+    def unquiesce(self, node: str) -> None:
+        self._runner.unquiesce(node)
+
     def running(self, node: str) -> bool:
         return self._runner.running(node)
 
--- a/flintridge/lab/scenario/model.py
+++ b/flintridge/lab/scenario/model.py
@@ -366,6 +366,13 @@
     count: Count = 1
 
 
+class NodeDrain(Lasting, tag="node_drain", frozen=True):
+    """Operators drain the node, and end that after `for_s`; the process runs on. In virtual time only."""
+
+    nodes: tuple[Count, ...] = ()
+    count: Count = 1
+
+
 class NodePause(Lasting, tag="node_pause", frozen=True):
     """The process stands still (SIGSTOP) for `for_s`."""
 
@@ -426,6 +433,7 @@
     | DiscoverySlow
     | NodeKill
     | NodeRestart
+    | NodeDrain
     | NodePause
     | Reload
     | BadClients
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -14,6 +14,7 @@
 from flintridge.lab.records import Connections, Log, read
 from flintridge.lab.run import play
 from flintridge.lab.scenario.load import load, names
+from flintridge.lab.scenario.model import NodeDrain, Scenario
 
 ROOT = Path(__file__).resolve().parent.parent
 # Some of everything whose order could depend on more than the seed, in a short day.
@@ -104,3 +105,9 @@
 def test_what_there_is_none_of_is_refused(words, said):
     with pytest.raises(ValueError, match=said):
         play(load("calm"), 1, **words)
+
+
+def test_a_drain_by_operators_is_refused_where_there_is_no_console():
+    day = Scenario(faults=(NodeDrain(at_s=1.0, for_s=1.0),))
+    with pytest.raises(ValueError, match="node_drain: on the virtual backend only"):
+        play(day, 1, backend="loopback")
