--- a/tests/test_net_drivers.py
+++ b/tests/test_net_drivers.py
@@ -19,6 +19,7 @@
 from flintridge.net.log import WAITING, Log
 from flintridge.net.sender import (
     BAD_COMMANDS,
+    LAST_COMMANDS,
     PARTING,
     PARTING_BYTES,
     PARTINGS,
@@ -663,3 +664,23 @@
 def test_the_example_configuration_is_good():
     config = load_config({"PROXY_CONFIG": str(Path(__file__).parent.parent / "examples" / "config.json")})
     assert config.settings.mode is api.CacheMode.ASIDE and config.listen.host == "127.0.0.1"
+
+
+def test_half_a_command_does_not_hold_up_the_end_of_a_node_that_leaves(play):
+    """Found by the lab's crowd: a client that had stopped half way kept the process for 2.6 s."""
+
+    async def test():
+        async with Side() as s:
+            half, _ = await s.client(b"mg key7 v O")
+            await until(lambda: any(not c._parser.idle for c in s.side._connections))
+            leaving = asyncio.ensure_future(s.side.leave())
+            await asyncio.sleep(0)
+            s.clock.go(SERVING)
+            await until(lambda: not s.side._listening.open)
+            assert not leaving.done() and not half._eof  # it may still become whole
+            s.clock.go(LAST_COMMANDS - SERVING)
+            await until(lambda: s.clock.go(20) or leaving.done())
+            assert s.clock.now() < 10_000 + LAST_COMMANDS + 250
+            assert await half.read() == b""
+
+    play(test)
