--- a/benchmarks/crowd_cost.py
+++ b/benchmarks/crowd_cost.py
@@ -43,9 +43,8 @@
             memory, cpu = node.memory_mb - memory, node.cpu_s - cpu
             for _, writer in crowd:
                 writer.close()
-            print(
-                f"{COUNT} silent connections: {memory * 1024 / COUNT:.1f} KiB, {cpu / COUNT * 1e6:.0f} us each"
-            )
+            each = f"{memory * 1024 / COUNT:.1f} KiB, {cpu / COUNT * 1e6:.0f} us"
+            print(f"{COUNT} silent connections: {each} each")
             print(f"taken in at {COUNT / took:.0f} a second")
             costs = []
             for number in range(ROUNDS):
