--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -79,10 +79,9 @@
 class Gate:
     """How many attempts may be out at once at the caches, or at the origin, and who waits for a place.
 
-    Additive increase, multiplicative decrease on the part of a round's attempts that fail or are slow. It
-    guards against all that makes the servers behind it hold more than they can do in time: overload, retry
-    storms, shared slowness (which may heal under less load), a flushed or scanned cache, an origin at its
-    end. It could harm where slow answers have nothing to do with load: it then refuses work at its floor.
+    Additive increase, multiplicative decrease on the part of a round's attempts that fail or are slow. Guards
+    servers against more than they can do in time: overload, retry storms, a flushed cache. It could harm
+    where slow answers have nothing to do with load: it then refuses work at its floor.
     """
 
     limit: float
@@ -92,7 +91,7 @@
     peak: int = 0  # of what was in flight in this round
     next_at: int = 0  # with a limit under one: the next attempt may go then
     timer_at: int = 0
-    narrowed_at: int | None = None
+    narrowed_at: float = -math.inf
     starting: bool = True  # doubles until the first sign of trouble
     round_from: int = 0
     seen: int = 0
@@ -101,7 +100,7 @@
     waiting: list[tuple[float, int, "Held"]] = field(default_factory=list)  # heap: worthiest, newest first
 
     def calm(self, now: int) -> bool:
-        return self.narrowed_at is None or now > self.narrowed_at + CALM
+        return now > self.narrowed_at + CALM
 
     def room(self, now: int) -> bool:
         # A limit under one is one attempt at a time with a pause after each: one out at each of hundreds of
@@ -130,8 +129,7 @@
         if narrowed:
             self.starting = False
             self.narrowed_at = now
-            # A limit that was never reached tells nothing. It is what was in flight at the most that counts:
-            # few in the moment of a lull made one narrowing close a gate for seconds.
+            # A limit that was never reached tells nothing, nor do the few in flight in the moment of a lull.
             base = min(self.limit, max(self.peak, self.inflight) + 1)
             self.limit = max(self.floor, base * (1 - 0.3 * self.slow / self.seen))
         elif self.inflight + 1 >= 0.7 * self.limit:
@@ -207,11 +205,11 @@
         self.order = itertools.count()
         self.fetches: dict[str, list[Held]] = {}  # keys that are being fetched, and who waits for them
         # First arrival and quota of what was refused: a flagged retry goes on from there. Guards against
-        # retry storms, whose late repeats would be served for nothing and eat the tenants' quotas.
+        # storms, whose late repeats would be served for nothing and eat the tenants' quotas.
         self.refused: dict[tuple[int, int, str | None, int | None], tuple[int, bool]] = {}
         self.tokens: dict[int, tuple[float, int]] = {}  # of each tenant: left, and at which time
-        tenants, routers = enumerate(settings.tenants), settings.fleet_size
-        self.quotas = {i: QUOTA_SLACK * tenant.quota_per_s / routers for i, tenant in tenants}
+        part = QUOTA_SLACK / settings.fleet_size
+        self.quotas = {i: part * tenant.quota_per_s for i, tenant in enumerate(settings.tenants)}
         self.spare = 1.0  # part of what is beyond quotas that is let in
         self.watch_failures = 0
         self.handlers = {
@@ -263,8 +261,8 @@
             self.out.append(api.Watch())
 
     def drop(self, server: str) -> None:
-        """Forget a server that is gone, once no attempt is out there. Guards a long day, on which servers are
-        replaced by others with new ids, against growing lists; it is off the ring, so its number is free."""
+        """Forget one that is gone, once no attempt is out there. Guards a long day, with ever new ids,
+        against growing lists; it is off the ring, so its number is free."""
         if self.servers[server].inflight == 0:
             self.free_numbers.append(self.servers.pop(server).number)
 
@@ -325,9 +323,8 @@
     def enter(self, request: Held, gate: Gate) -> None:
         """Send at once where there is a place, else wait for one: the worthiest first, the newest of equals.
 
-        Whoever could no longer be answered in time is refused early, so that the client may try elsewhere and
-        no server works for nobody. Newest first because under lasting overload first-come order serves all
-        too late. It could harm a request whose service is much quicker than its class's usual.
+        Whoever could no longer be answered in time is refused early. Newest first because under lasting
+        overload first-come order serves all too late. It could harm one much quicker than its class's usual.
         """
         request.gate = gate
         heapq.heappush(gate.waiting, (-self.value(request), -next(self.order), request))
@@ -344,12 +341,12 @@
 
     def last_start(self, request: Held, gate: Gate) -> int:
         cls, event = request.cls, request.event
-        # A slow spell must not teach that a class is hopeless: half its aim is always given a chance.
+        # A slow spell must not teach that a class is hopeless.
         usual = min(self.latency.get((event.cls, gate is self.origin), 0.0), LATE_PART * cls.aim_ns)
         until = min(request.arrived + (cls.deadline_ns if cls.late_share else cls.aim_ns), event.deadline)
         if all(attempt.moot for attempt in request.attempts):
-            # A client told early that there is no place may still come again in time, or try elsewhere. Where
-            # there is one it goes at once, however slow its class was: else that would never be known again.
+            # A client told early may still come again in time. Where there is a place it goes at once,
+            # however slow its class was: else that would never be known again.
             waits = max(0.0, UNTRIED_PART * (event.deadline - request.came) - usual)
             return min(until - int(usual), request.came + int(waits))
         return until - int(usual)
@@ -368,8 +365,8 @@
     def beyond_quota(self, event: api.Request) -> bool:
         """Whether the tenant has spent this router's part of its quota: it then waits last and yields first.
 
-        Guards the tenants within their share against one that floods. A router that gets an uneven part of a
-        tenant's traffic judges too strictly or too mildly, which matters only while a gate is narrow.
+        Guards the others against one that floods. A router that gets an uneven part of a tenant's traffic
+        judges too strictly or too mildly, which matters only while a gate is narrow.
         """
         if not (rate := self.quotas.get(event.tenant)):
             return False
@@ -431,7 +428,6 @@
         # Where trips between zones have a price, a key goes to its first clockwise server within this zone:
         # each zone keeps copies of its own, and a server meets the connections of its zone's routers only.
         # While a gate is narrow all share the one ring, as copies in each zone cost the origin more fetches.
-        # It could harm where caches are so small that the copies push out other keys.
         calm = self.origin.calm(self.now) and self.caches.calm(self.now)
         near = self.settings.prices.cross_zone > 0 and (calm or self.now < self.crowded_until)
         far: str | None = None
@@ -457,10 +453,9 @@
                 far = far or name
         return far or barred
 
-    # Servers that cannot be reached: more routers than a server accepts connections from, a fleet whose
-    # handshakes take too long, a machine that is off before the list says so. Each failed connection bars
-    # the server for twice as long, so a router settles on the servers that it has connections to, and its
-    # keys with them. It could harm where a server comes back unnoticed: its keys miss for a while.
+    # Servers that cannot be reached: more routers than one accepts connections from, slow handshakes, one
+    # that is off before the list says so. Each failed connection bars it for twice as long, so a router
+    # settles on those it has connections to. It could harm where one comes back unnoticed.
 
     def note_reached(self, server: Server, event: api.AttemptEnded) -> None:
         if event.outcome is Outcome.CONNECT_FAILED:
@@ -475,14 +470,13 @@
 
     # Slow and failing servers: the time that a server takes for each unit of expected work, against the
     # fleet's, sets its share of keys and of the cap. A failed attempt counts as very slow, so one that errors
-    # fast is not seen as empty. It is left gradually, keeps a small share on which it is tried again, and a
-    # fleet that is slow as a whole is not moved at all. What a server met rarely showed is weighed against
-    # its kind's cost and fades, so one slow answer does not move its keys for long. It could harm where a
-    # server's keys cost more than their hints say.
+    # fast is not seen as empty. It keeps a small share on which it is tried again, and a fleet that is slow
+    # as a whole is not moved at all. What one met rarely showed is weighed against its kind's cost and fades.
+    # It could harm where a server's keys cost more than their hints say.
 
-    # A machine of a larger listed weight does more in the same time: it gets as many more keys. At once it
-    # holds more by the root only, as what it holds is sooner done. Guards small machines, which turned a
-    # quarter of all away while large ones idled. It could harm where listed weights are far from the truth.
+    # A machine of a larger listed weight gets as many more keys. At once it holds more by the root only, as
+    # what it holds is sooner done. Guards small machines, which turned a quarter of all away while large ones
+    # idled. It could harm where listed weights are far from the truth.
 
     def root(self, server: Server) -> float:
         weight = server.member.weight
@@ -524,8 +518,7 @@
             return
         cost = event.latency_ns / expected
         # A failure is weighed against what goes well. Guards against costs that climb by themselves: weighed
-        # against the fleet's cost, which holds failures too, each made the next one cost more, without end,
-        # until nothing but failures told the servers apart.
+        # against the fleet's cost, which holds failures too, each made the next one cost more, without end.
         usual_cost = self.good_cost or cost
         worst = usual_cost * HEALTHY / LEAST_SHARE
         if spoilt or event.outcome is Outcome.RESET:  # at all alike a few may be: many in a row shall tell
@@ -533,8 +526,7 @@
         elif not failed:
             cost = min(cost, worst)
             self.good_cost = usual_cost + 0.03 * (cost - usual_cost)
-            # A kind is as fast as its machines that are well. Guards idle ones against looking as sick as one
-            # of their kind that fails: it then seemed no worse than usual, and kept its keys.
+            # A kind is as fast as its machines that are well: idle ones must not look like one that fails.
             kind = server.member.kind
             self.kinds[kind] = self.kinds.get(kind, cost) + 0.03 * (cost - self.kinds.get(kind, cost))
         cost = worst if failed else min(cost, worst)
@@ -609,10 +601,9 @@
             known.recent_work += self.work(request)
         self.out.append(api.Send(request.event.id, server, self.patience(request, gate)))
 
-    # Connections dropped unseen: what is sent on one gets no answer. Told from lost answers and sickness by
-    # the idle time: of the attempts on connections unused for as long most got no answer, of others few.
-    # They are then closed before they are that old; after STALE_SPAN an old one is tried again. It could harm
-    # where many servers fall silent at once, by handshakes that were not needed.
+    # Connections dropped unseen: told from sickness by the idle time: most attempts on those unused as long
+    # got no answer, few of the others. They are closed before they are that old, until STALE_SPAN is over.
+    # It could harm where many servers fall silent at once.
 
     def note_idle(self, server: Server, attempt: Attempt, outcome: Outcome) -> None:
         lost = outcome in SILENT
@@ -639,9 +630,8 @@
         """How long to wait for an answer before another attempt; 0: until the client gives up.
 
         Until this one counts as slow and takes some times the usual, if rule 2 allows another and that can
-        still be in time. Guards against answers that get lost or stop short, connections that fall silent and
-        machines that hang; waited for longer, the next answer comes after its aim. Not used while the gate is
-        narrow, as it would add to an overload. It could harm where hints are far low.
+        still be in time. Guards against lost answers, silent connections and machines that hang. Not used
+        while the gate is narrow, as it would add to an overload. It could harm where hints are far low.
         """
         cls = request.cls
         calm = gate.calm(self.now) or self.stale_after < math.inf
@@ -659,8 +649,8 @@
         return effect is Effect.SAFE or (effect is Effect.KEYED and group is api.Group.ALL)
 
     # One fetch for each key: while one is out at the origin, other reads of the key that missed wait for it
-    # and then ask the server that stored it. Guards the origin after a flush, under a hot key or in front of
-    # empty servers; where answers are not kept (voided at once), a follower loses the time of one cache trip.
+    # and then ask the server that stored it. Guards the origin; where answers are not kept, a follower loses
+    # the time of one cache trip.
 
     def fetched_key(self, request: Held) -> str | None:
         return None if request.event.write else request.event.key
@@ -703,10 +693,8 @@
             if attempt.idle is None and gate is self.caches:
                 waited -= self.settings.limits.connect_timeout_ns
             late = waited > LATE_PART * request.cls.aim_ns
-            # What a server already known as sick fails to do is its own trouble, not the fleet's: a lost zone
-            # must not starve the servers that are left. Where all fail, none stands out and all count.
-            # Nor do connections tell of it: those that fail, those that were dropped, the time to open one.
-            # Nor do the quick refusals of a sick server: counted, they keep a gate narrow while others idle.
+            # What a server known as sick fails to do is its own trouble: a lost zone must not starve others.
+            # Nor do connections tell of it, nor the quick refusals of a sick server.
             own_trouble = unreached or dropped or self.health(known) < SICK
             if good or not own_trouble:
                 narrowed = gate.note(self.now, late or failed, attempt.sent_at)
@@ -744,8 +732,7 @@
             self.enter(request, self.origin)  # the last attempt is kept for it: another cache could only miss
         else:
             # An answer spoilt or broken off says little of its server, which has the key by now: it may be
-            # asked once more. Else each one would cost a miss elsewhere and a fetch, or the only origin. So
-            # may an origin whose answer was lost; not one that turns requests away: it has too many of them.
+            # asked once more. So may an origin whose answer was lost; not one that turns requests away.
             lost = attempt.server in self.origins and outcome is not Outcome.FULL
             again = (spoilt or lost) and attempt.server not in request.spoilt
             (request.spoilt if again else request.failed).append(attempt.server)
@@ -773,7 +760,6 @@
         likeness = self.likeness(request.event)
         self.refused.pop(likeness, None)
         self.refused[likeness] = (request.arrived, request.over_quota)
-        # What is too old to be a retry's first try goes, oldest first: none of it may pile up.
         for oldest in list(itertools.islice(self.refused, 2)):
             cls = self.settings.classes[oldest[0]]
             if self.now >= self.refused[oldest][0] + cls.deadline_ns:
@@ -788,8 +774,7 @@
     def come_back(self, request: Held) -> int:
         """When the client may find a place: its quota has room again, or those before it have had their turn.
 
-        Reckoned from this router's own line and pace, so it is short in a lull and long in an overload. It
-        could harm where the line shrinks much faster than it did: the client then comes later than it might.
+        Reckoned from this router's own line and pace. It could harm where the line shrinks much faster.
         """
         limits, event = self.settings.limits, request.event
         if not limits.retry_after:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,5 +1,7 @@
 """One test for each failure found: each fails without the code that answers it."""
 
+import math
+
 from helpers import MS, Router, S, members
 
 from flintridge import api
@@ -320,7 +322,7 @@
         uid = router.ask(f"k{i}")
         router.now += 400 * MS
         router.end(uid, Outcome.OK)
-    assert router.balancer.caches.narrowed_at is None
+    assert router.balancer.caches.narrowed_at == -math.inf
 
 
 def test_silence_leaves_time_for_another_attempt_where_a_repeat_is_harmless():
@@ -534,7 +536,7 @@
             router.end(uid, Outcome.OK)
     assert same > 80  # of 100: it has the key
     router.balancer.refresh_shares()
-    assert router.balancer.caches.narrowed_at is None and min(router.balancer.shares.values()) > 0.5
+    assert router.balancer.caches.narrowed_at == -math.inf and min(router.balancer.shares.values()) > 0.5
 
 
 def test_an_attempt_that_was_never_sent_does_not_make_a_request_tried():
