Keep a node's part of a cold server's budget by chance where it is under one request

Traced: s- through the logs of all 184 nodes, with a line for each send to a cold server added in a copy. From 14.4 s on each node sent it one request at a time; at 16.87 s the last 1.5 s held 60 sends of 60 nodes, 4879 ms of work, 6.1 times warmth x listed weight. All 60 were alone in their own window, as

{"node":"n1","event":"module","text":"cold s- 0.351  36.3 36.3 15.6 2.0 1 1"}

(work 36.3 ms, of that window 36.3, estimate 15.6 ms a window, one send). Ruled out: too high an estimate of its capacity (the node's part came to about 5 ms, which no request is under) and nodes that had just started without one (the survivors did the same). At fault: cold_room returned True where the window held nothing of this node's, whatever its part.

Change: with nothing in the window, a node's first send is drawn: likely as its part is of the mean work, once a window. A node that has seen nothing yet takes its even part (fleetSize) of the tenants' quotas; without quotas, of one request within the shortest aim. Not taken: a debt that decays, as what idle nodes save up is spent by all in the one moment when a key moves; fewer nodes per cold server by number, as keys would differ between nodes.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -73,6 +73,8 @@
     barred_until: int = 0
     recent: deque[tuple[int, float]] = field(default_factory=deque)  # while cold: sends of a rule window
     recent_work: float = 0.0
+    luck: float = 0.0  # while cold: of this rule window's first send, in 0 to 1
+    drawn_until: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -199,6 +201,7 @@
         self.load_from = 0  # start of the window in which served work is added up
         self.load_sum = 0.0
         self.warm_load = 0.0  # work that this router saw a warm server do in a rule window, at the most
+        self.mean_work = 0.0  # of requests
         self.held: dict[str, Held] = {}
         self.timers: dict[int, tuple[str, str]] = {}
         self.last_token = 0
@@ -303,6 +306,8 @@
         if event.id in self.held:
             return
         request = self.held[event.id] = Held(event, self.settings.classes[event.cls], self.now, self.now)
+        work = self.work(request)
+        self.mean_work = self.mean_work + 0.05 * (work - self.mean_work) if self.mean_work else work
         repeat = event.retry or event.work_ns is not None
         known = self.refused.pop(self.likeness(event), None) if repeat else None
         if known is not None and self.now < known[0] + request.cls.deadline_ns:
@@ -541,10 +546,10 @@
             self.shares[server.member.server] = now_has
 
     # Cold servers: a server that has just started gets its share of keys and of the cap as it warms up, and
-    # never more work in a rule window than a part of what rule 4 allows. Its capacity is judged by the work
-    # that warm servers were seen to do, so that every router keeps to its own part of the traffic. Guards
-    # against spill, hot keys and retries piling onto an empty server; too low an estimate (a quiet hour)
-    # only makes keys walk on. Its misses reach the origin as gradually.
+    # never more work in a rule window than this router's part of what rule 4 allows all of them. Its capacity
+    # is judged by the work that warm servers were seen to do, so each router keeps to its part of the traffic.
+    # A part of less than one request is kept by chance, drawn once a window: one try at each of hundreds of
+    # routers is far more than a server can do. It could harm by too low an estimate: keys then walk on.
 
     def warmth(self, server: Server) -> float:
         rules, started = self.settings.rules, server.member.started_at
@@ -555,16 +560,29 @@
 
     def cold_room(self, server: Server, request: Held) -> bool:
         rules, share = self.settings.rules, self.warmth(server)
-        if share == 1 or not rules.fall_multiple:
+        if share == 1 or not rules.fall_multiple or not rules.fall_ns:
             return True
         while server.recent and server.recent[0][0] <= self.now - rules.fall_ns:
             server.recent_work -= server.recent.popleft()[1]
-        if not server.recent:
-            server.recent_work = 0.0
-            return True
         weight = (server.member.weight or self.mean_weight) / self.mean_weight
-        budget = COLD_PART * rules.fall_multiple * share * self.warm_load * weight
-        return server.recent_work + self.work(request) <= budget
+        budget = COLD_PART * rules.fall_multiple * share * self.own_part() * weight
+        if server.recent:
+            return server.recent_work + self.work(request) <= budget
+        server.recent_work = 0.0
+        if self.now >= server.drawn_until:
+            server.luck, server.drawn_until = self.random.random(), self.now + rules.fall_ns
+        return server.luck * self.mean_work <= budget
+
+    def own_part(self) -> float:
+        """This router's part of what a warm server can do in a rule window.
+
+        Before it has seen any, an even part of what the quotas let in; without quotas a server is taken to do
+        one request within the shortest aim, as less would be of no use.
+        """
+        settings, window = self.settings, self.settings.rules.fall_ns
+        let_in = sum(t.quota_per_s for t in settings.tenants) * window / (1000 * MS) / max(1, len(self.ready))
+        each = let_in or window / max(1, min(cls.aim_ns for cls in settings.classes))
+        return self.warm_load or each * self.mean_work / settings.fleet_size
 
     def work(self, request: Held) -> float:
         hint = request.event.work_ns
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,9 +1,10 @@
 """The four rules, case by case and on seeded random streams of events."""
 
 import random
+from dataclasses import replace
 
 import pytest
-from helpers import MS, ORIGIN_KIND, Router, S, members
+from helpers import MS, ORIGIN_KIND, START, Router, S, members
 
 from flintridge import api
 from flintridge.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
@@ -204,3 +205,66 @@
         router.end(uid, Outcome.TIMEOUT)
     assert set(router.answers) == set(router.deadlines)
     assert router.balancer.held == {}
+
+
+def worst_of_a_fleet(size: int, asked: int, warmed: bool, seconds: int = 3, **changes) -> int:
+    """Requests that `size` routers send to one server in the worst rule window after it started, while each
+    is asked `asked` times a second for the one key that is this server's."""
+    fresh = api.Member("10.0.1.1:80", started_at=START)
+    key = next(k for k in map(str, range(1000)) if first_server(k, fresh.server) == fresh.server)
+    sent: list[int] = []
+    for seed in range(size):
+        router = Router(count=4, seed=seed, fleet_size=size, **changes)
+        if warmed:
+            for _ in range(20):  # ten a second for two windows: 2.5 a second at each warm server
+                uid = router.ask(f"w{router.next_id}")
+                router.pass_time(100 * MS)
+                router.end(uid, Outcome.OK)
+        start = replace(fresh, started_at=router.now)
+        router.tell(api.MemberList(ListKind.DELTA, 2, (start,)))
+        router.pass_time(seed * S // asked // size)
+        began = start.started_at
+        for _ in range(seconds * asked):
+            uid = router.ask(key)
+            if (uid, 0) in router.out:
+                if router.server_of(uid) == fresh.server:
+                    sent.append(router.now - began)
+                router.pass_time(5 * MS)
+                router.end(uid, Outcome.OK)
+            router.pass_time(S // asked - 5 * MS)
+    return max((sum(at <= t < at + S for t in sent) for at in sent), default=0)
+
+
+def first_server(key: str, fresh: str) -> str:
+    router = Router(count=4)
+    router.tell(api.MemberList(ListKind.DELTA, 2, (api.Member(fresh),)))
+    return router.server_of(router.ask(key))
+
+
+def test_a_fleet_of_small_routers_keeps_to_the_cold_budget_together():
+    """Rule 4 counts all routers. Each sent a cold server one request as if it were alone: with 200 of them a
+    key that many ask for pushed it over, though none had sent more than one."""
+    size = 100
+    warm_server = size * 2.5  # a second, as the routers have seen
+    assert 0 < worst_of_a_fleet(size, 2, warmed=True) <= 3.0 * 0.5 * warm_server
+    # Right after their own start they have seen nothing: the quotas tell what all can do, 50 a second each.
+    quotas = (api.Tenant("a", 150.0), api.Tenant("b", 100.0))
+    assert 0 < worst_of_a_fleet(size, 2, warmed=False, tenants=quotas) <= 3.0 * 0.5 * 50
+    # Nor are there quotas everywhere: a server that can't do a request within its aim is of no use.
+    assert worst_of_a_fleet(size, 2, warmed=False, seconds=1) <= 3.0 * 0.5 * 2 + 2
+
+
+def test_a_router_alone_is_not_kept_from_a_cold_server():
+    """A share of less than one request must not be none, nor a fleet of one be refused."""
+    assert worst_of_a_fleet(1, 20, warmed=False) >= 1
+    router = Router(count=0)
+    router.tell(api.MemberList(ListKind.DELTA, 2, (api.Member("10.0.1.1:80", started_at=START),)))
+    answered = 0
+    for _ in range(30):
+        uid = router.ask("k")
+        router.pass_time(50 * MS)
+        if (uid, 0) in router.out:
+            router.end(uid, Outcome.OK)
+            answered += 1
+        router.pass_time(200 * MS)
+    assert answered
