--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -547,7 +547,7 @@
 
     # Cold servers: a server that has just started gets its share of keys and of the cap as it warms up, and
     # never more work in a rule window than this router's part of what rule 4 allows all of them. Its capacity
-    # is judged by the work that warm servers were seen to do, so each router keeps to its part of the traffic.
+    # is judged by the work that warm servers were seen to do, so each router keeps to its part of traffic.
     # A part of less than one request is kept by chance, drawn once a window: one try at each of hundreds of
     # routers is far more than a server can do. It could harm by too low an estimate: keys then walk on.
 
