Give each key one place in all zones, in calm as in trouble

At fault: `near` in pick. Each node kept to its zone's servers while its gates were calm, so each zone had copies and missed on its own; with the first narrow gate a node changed to the one ring and missed nearly all anew, all nodes at the same moment, just when the origin had no room.

Change: the ring is walked as the design says, whatever the zone; crowded_until goes with it.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -189,7 +189,6 @@
         self.latency: dict[tuple[int, bool], float] = {}  # of served attempts, by class and if at the origin
         self.idles: deque[tuple[int, int, bool]] = deque(maxlen=16)  # at, idle time before, silence after
         self.stale_after = math.inf  # idle time
-        self.crowded_until = 0
         self.fleet_cost: float | None = None
         self.good_cost: float | None = None  # mean of the attempts that did not fail, at whichever server
         self.kinds: dict[int, float] = {}  # mean cost at machines of a kind
@@ -430,12 +429,8 @@
 
         if request.prefer in shares and request.prefer not in seen and free(request.prefer):
             return request.prefer
-        # Where trips between zones have a price, a key goes to its first clockwise server within this zone:
-        # each zone keeps copies of its own, and a server meets the connections of its zone's routers only.
-        # While a gate is narrow all share the one ring, as copies in each zone cost the origin more fetches.
-        calm = self.origin.calm(self.now) and self.caches.calm(self.now)
-        near = self.settings.prices.cross_zone > 0 and (calm or self.now < self.crowded_until)
-        far: str | None = None
+        # One ring for all zones: a copy of each key in every zone costs the origin many more fetches,
+        # and a fleet that changes to one ring in trouble misses nearly all just when the origin has no room.
         barred: str | None = None
         ring, known = self.ring, self.known
         start = bisect.bisect_left(ring, place_of(request.event.key or request.event.id))
@@ -453,10 +448,8 @@
             if self.servers[name].barred_until > self.now:
                 barred = barred or name
             elif free(name):
-                if not near or self.servers[name].member.zone == self.settings.zone:
-                    return name
-                far = far or name
-        return far or barred
+                return name
+        return barred
 
     # Servers that cannot be reached: more routers than one accepts connections from, slow handshakes, one
     # that is off before the list says so. Each failed connection bars it for twice as long, so a router
@@ -467,9 +460,6 @@
             server.unreached += 1
             bar = min(BAR * 2 ** (server.unreached - 1), LONGEST_BAR)
             server.barred_until = self.now + int(bar * self.random.uniform(0.5, 1))
-            # One refused at once is a matter of places, not of load or of slow handshakes.
-            if event.latency_ns < self.settings.limits.connect_timeout_ns / 2:
-                self.crowded_until = self.now + LONGEST_BAR
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.TIMEOUT):
             server.unreached = server.barred_until = 0
 
