Take a cold server's budget from the quotas at least, and draw it by a heavy key's work

At fault: own_part. It took the load that was seen for what a server can do, though the settings tell more: the quotas. A first send was drawn by the mean work, whatever its own.

Change: the part is at least an even part of the quotas, and a request over the mean is drawn by its own work.

--- a/flintridge/cli/ring.py
+++ b/flintridge/cli/ring.py
@@ -19,7 +19,7 @@
 
 NOT_KNOWN = (
     "Not known here: live load and health. A node takes keys from servers that are slow, failing, cold or at "
-    "their cap, and in calm times keeps keys in its own zone where crossing has a price."
+    "their cap."
 )
 REASONS = (
     (
@@ -34,10 +34,6 @@
     ("draining", "discovery says terminating or terminated: it is off the ring"),
     ("cold", "it started lately and has had as much work as it may get at once"),
     ("slow or failing", "part of its points do not count until it is well again"),
-    (
-        "another zone",
-        "crossing has a price, all is calm, and a server of the node's own zone is under the cap",
-    ),
 )
 
 
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -561,18 +561,19 @@
         server.recent_work = 0.0
         if self.now >= server.drawn_until:
             server.luck, server.drawn_until = self.random.random(), self.now + rules.fall_ns
-        return server.luck * self.mean_work <= budget
+        # A key may be heavy: by the mean alone all routers together sent its server as many times too much.
+        return server.luck * max(self.mean_work, self.work(request)) <= budget
 
     def own_part(self) -> float:
         """This router's part of what a warm server can do in a rule window.
 
-        Before it has seen any, an even part of what the quotas let in; without quotas a server is taken to do
-        one request within the shortest aim, as less would be of no use.
+        At least an even part of what the quotas let in, as a quiet hour shows little. Without quotas a server
+        is taken to do one request within the shortest aim, as less would be of no use.
         """
         settings, window = self.settings, self.settings.rules.fall_ns
         let_in = sum(t.quota_per_s for t in settings.tenants) * window / (1000 * MS) / max(1, len(self.ready))
         each = let_in or window / max(1, min(cls.aim_ns for cls in settings.classes))
-        return self.warm_load or each * self.mean_work / settings.fleet_size
+        return max(self.warm_load, each * self.mean_work / settings.fleet_size)
 
     def work(self, request: Held) -> float:
         hint = request.event.work_ns
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -235,9 +235,9 @@
     return max((sum(at <= t < at + S for t in sent) for at in sent), default=0)
 
 
-def first_server(key: str, fresh: str) -> str:
-    router = Router(count=4)
-    router.tell(api.MemberList(ListKind.DELTA, 2, (api.Member(fresh),)))
+def first_server(key: str, fresh: str, started_at: int = 0) -> str:
+    router = Router(count=4, tenants=(api.Tenant("a", 1e9),))  # no budget that matters
+    router.tell(api.MemberList(ListKind.DELTA, 2, (api.Member(fresh, started_at=started_at),)))
     return router.server_of(router.ask(key))
 
 
@@ -268,3 +268,26 @@
             answered += 1
         router.pass_time(200 * MS)
     assert answered
+
+
+def test_a_quiet_hour_does_not_make_a_cold_server_small():
+    """What was seen is load; the quotas tell what can be done. By load alone replaced servers were left
+    idle in a burst, while keys walked on to full ones."""
+    quotas = (api.Tenant("a", 400.0),)
+    assert 30 <= worst_of_a_fleet(1, 40, warmed=True, tenants=quotas) <= 3.0 * 0.5 * 100
+
+
+def test_a_heavy_key_does_not_take_a_cold_server_s_budget_many_times():
+    """Its server's first sends were drawn by the mean work: too often where all that it gets is heavier."""
+    size, light, heavy, name = 200, 10 * MS, 100 * MS, "10.0.1.1:80"
+    key = next(k for k in map(str, range(1000)) if first_server(k, name, START) == name)
+    sent = 0
+    for seed in range(size):
+        router = Router(count=4, seed=seed, fleet_size=size, tenants=(api.Tenant("a", 400.0),))
+        for i in range(20):
+            router.end(router.ask(f"w{i}", work_ns=light), Outcome.OK)
+        router.tell(api.MemberList(ListKind.DELTA, 2, (api.Member(name, started_at=START),)))
+        sent += router.server_of(router.ask(key, work_ns=heavy)) == name
+    # The quotas let in 80 a second at each of five servers; the mean work is a little more than light by now.
+    budget = 0.5 * 3.0 * 0.3 * 80 * 1.5 * light
+    assert 0 < sent * heavy <= 2.5 * budget
