--- a/benchmarks/peers_scale.py
+++ b/benchmarks/peers_scale.py
@@ -14,16 +14,15 @@
 
 from flintridge.lab.partial.machines import Link, Machines
 
-LOSSES = (0.0, 0.1, 0.3)
-SETTLE_S, STEADY_S, PATIENCE_MS = 25, 40, 60_000.0
+SETTLE_S, PATIENCE_MS = 25, 60_000.0
 HEADS = (
     *("nodes", "loss", "begun", "death 1/2", "death 99%", "return 1/2", "return 99%"),
     *("missed", "age 99%", "limit", "B/s", "most B/s", "CPU ms/s"),
 )
 
 
-def row(job: tuple[int, float, int]) -> list[float]:
-    count, loss, seed = job
+def row(job: tuple[int, float, int, int]) -> list[float]:
+    count, loss, seed, steady_s = job
     machines = Machines(count, seed, bytes_per_s=8_000.0, link=Link(loss=loss, jitter=2.0), key=b"k" * 32)
     names = machines.names
 
@@ -33,7 +32,7 @@
     begun = machines.run(PATIENCE_MS, lambda: hear(max(2, round(0.99 * count))))
     machines.run(SETTLE_S * 1000.0 - machines.now if machines.now < SETTLE_S * 1000 else 0.0)
     steady_from, cpu = machines.now, time.process_time()
-    missed = _steady(machines)
+    missed = _steady(machines, steady_s)
     cpu = time.process_time() - cpu
     ages = sorted(
         machines.living(name)[0].clock(machines.now) - one.known_at
@@ -44,7 +43,7 @@
         size
         for name in names
         for second, size in machines.living(name)[0].seconds.items()
-        if steady_from / 1000 <= second < steady_from / 1000 + STEADY_S - 1
+        if steady_from / 1000 <= second < steady_from / 1000 + steady_s - 1
     ]
     most = max(max(process.seconds.values()) for name in names for process in machines.processes[name])
     dead, rest = names[0], names[1:]
@@ -64,18 +63,18 @@
         (begun or float("nan")) / 1000,
         *death,
         *back,
-        missed * 3600 / STEADY_S / count,
+        missed * 3600 / steady_s / count,
         ages[int(0.99 * len(ages))] / 1000,
         machines.machine(rest[0]).limit / 1000,
         statistics.mean(seconds),
         most,
-        cpu / count / STEADY_S * 1000,
+        cpu / count / steady_s * 1000,
     ]
 
 
-def _steady(machines: Machines) -> int:
+def _steady(machines: Machines, steady_s: int) -> int:
     missed, was = 0, {}
-    for _ in range(STEADY_S * 2):
+    for _ in range(steady_s * 2):
         machines.run(500)
         for name in machines.names:
             for one in machines.machine(name).table:
@@ -107,13 +106,16 @@
     parser.add_argument("counts", nargs="*", type=int, default=[20, 200])
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--loss", nargs="*", type=float, default=[0.0, 0.1, 0.3])
+    parser.add_argument("--steady", type=int, default=40, help="seconds of calm that are looked at")
     asked = parser.parse_args()
-    jobs = [(n, loss, seed) for n in asked.counts for loss in LOSSES for seed in range(1, asked.seeds + 1)]
+    seeds = range(1, asked.seeds + 1)
+    jobs = [(n, loss, seed, asked.steady) for n in asked.counts for loss in asked.loss for seed in seeds]
     with ProcessPoolExecutor(asked.jobs) as pool:
         rows = list(pool.map(row, jobs))
     print("| " + " | ".join(HEADS) + " |\n|" + " --- |" * len(HEADS))
     for n in asked.counts:
-        for loss in LOSSES:
+        for loss in asked.loss:
             same = [one for one in rows if (one[0], one[1]) == (n, loss)]
             means = [statistics.mean(column) for column in zip(*same, strict=True)]
             means[11] = max(one[11] for one in same)
--- a/flintridge/lab/backend/processes.py
+++ b/flintridge/lab/backend/processes.py
@@ -23,7 +23,7 @@
 from flintridge.lab.fabric import DayClock, Fabric
 from flintridge.lab.partial.peernet import PeerNet
 from flintridge.lab.records import Connections, Line, Log, NodeSaid
-from flintridge.lab.scenario.model import Scenario
+from flintridge.lab.scenario.model import Scenario, keeps_lines
 
 ROOT = Path(flintridge.__file__).resolve().parent.parent
 CHILD = Path(__file__).with_name("child.py")
@@ -187,7 +187,7 @@
         """`command` starts a node; `leave_s` is what nodes are given at the end before they are killed;
         `clients_of` counts the connections that clients hold to a node."""
         self.peers: PeerNet | None = None  # set before the first start where the nodes hear one another
-        self._on_line: list[Callable[[str, str], None]] = []
+        self._keeps_lines = keeps_lines(scenario)
         longest = max(known.deadline_ms for known in scenario.classes) / 1000
         self._fabric = fabric
         self._log = log
@@ -282,16 +282,11 @@
     def unquiesce(self, node: str) -> None:
         raise NotImplementedError("node_drain is played in virtual time only: no console is opened here")
 
-    def on_line(self, seen: Callable[[str, str], None]) -> None:
-        self._on_line.append(seen)
-
     def _line(self, node: str, event: str, line: bytes) -> None:
-        if self.peers is not None and event.startswith("peers"):
+        if self._keeps_lines:
             self._log.add(
                 Line(t=self._clock.now(), node=node, event=event, fields=line.decode(errors="replace"))
             )
-        for seen in self._on_line:
-            seen(node, event)
 
     def running(self, node: str) -> bool:
         """Also while it leaves after SIGTERM, not once it was killed."""
--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -12,13 +12,14 @@
 import orjson
 
 from flintridge.lab.fabric import DayClock, Links, Listener
-from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, view_of
+from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, view_of
 from flintridge.lab.records import Connections, Line, Log, NodeSaid
 from flintridge.lab.scenario.model import Peers
 from flintridge.lab.virtual import VirtualLoop
 from flintridge.net.clock import SystemClock
 from flintridge.net.counters import Counters
 from flintridge.node import Node
+from flintridge.peers.wire import Wire
 from flintridge.settings import Address, ConfigError, PeersConfig, node_config
 
 UNIX_MS = 1_700_000_000_000.0  # the Unix time at which each virtual day begins
@@ -126,6 +127,15 @@
         listen = Address(*fabric.address("peers", node))
         return PeersConfig(listen, known, FLEET, KEY if self.part.sealed else None, self.part.bytes_per_s)
 
+    def recorder(self, fabric: VirtualFabric, log: Log) -> Callable[[str, str, bytes, str], None]:
+        """What takes down each datagram between nodes."""
+        wire = Wire(FLEET, KEY if self.part.sealed else None)
+
+        def seen(source: str, target: str, data: bytes, fate: str) -> None:
+            log.add(datagram_of(wire, fabric.clock.now(), source, target, data, fate))
+
+        return seen
+
 
 @dataclass(slots=True)
 class Life:
@@ -153,7 +163,7 @@
         """`plant` is given each node right after it was put together: to plant a defect in it. `sockets` is
         how many descriptors a node's process may hold. `peers`: the nodes hear one another."""
         self._peers = peers
-        self._on_line: list[Callable[[str, str], None]] = []
+        self.keeps_lines = peers is not None
         self._fabric = fabric
         self._log = log
         self._start_ms = start_ms
@@ -167,6 +177,7 @@
         self._sampler = fabric.clock.call_later(SAMPLE_MS, self._sample)
         self._viewer: asyncio.TimerHandle | None = None
         if peers is not None:
+            fabric.network.on_datagram = peers.recorder(fabric, log)
             self._look_at_peers()
 
     def node(self, name: str) -> Node | None:
@@ -277,15 +288,10 @@
         self._say(name, said)
         self._fabric.network.host(name).run(carry_out())
 
-    def on_line(self, seen: Callable[[str, str], None]) -> None:
-        self._on_line.append(seen)
-
     def _line(self, node: str, event: str, fields: dict[str, object]) -> None:
-        if self._peers is not None and event.startswith("peers"):
+        if self.keeps_lines:
             told = orjson.dumps(fields, default=str).decode()
             self._log.add(Line(t=self._fabric.clock.now(), node=node, event=event, fields=told))
-        for seen in self._on_line:
-            seen(node, event)
 
     def _look_at_peers(self) -> None:
         self._viewer = self._fabric.clock.call_later(VIEW_MS, self._look_at_peers)
--- a/flintridge/lab/fabric.py
+++ b/flintridge/lab/fabric.py
@@ -96,9 +96,6 @@
     def unquiesce(self, node: str) -> None:
         """End the drain."""
 
-    def on_line(self, seen: Callable[[str, str], None]) -> None:
-        """From now on tell of each line of a node's log: the node and the event."""
-
     def running(self, node: str) -> bool: ...
 
     async def ended(self, node: str) -> None:
--- a/flintridge/lab/faults/check.py
+++ b/flintridge/lab/faults/check.py
@@ -196,6 +196,11 @@
 def _once(scenario: m.Scenario, fault: m.AnyFault, once: m.Seen) -> Iterator[str]:
     if isinstance(fault, m.Burst):
         yield "once: clients plan a burst ahead; only at_s is allowed"
+    ways = [name for name in ("line", "heard", "datagram") if getattr(once, name) not in ("", None)]
+    if len(ways) != 1:
+        yield "once: it waits for exactly one of line, heard and datagram"
+    elif ways[0] != "line" and scenario.peers is None:
+        yield f"once.{ways[0]}: nodes that hear nobody show none; the scenario needs a table [peers]"
     if once.node is not None and once.node >= scenario.nodes.count:
         yield f"once.node: there is no node {once.node}; allowed is 0 to {scenario.nodes.count - 1}"
 
--- a/flintridge/lab/faults/timeline.py
+++ b/flintridge/lab/faults/timeline.py
@@ -21,15 +21,17 @@
 from flintridge.lab.faults.controls import LoadControls
 from flintridge.lab.faults.nodes import NodeState
 from flintridge.lab.faults.servers import WorldState
-from flintridge.lab.records import Happened
+from flintridge.lab.records import AnyRecord, Datagram, Happened, Line, View
 from flintridge.lab.scenario import model as m
 from flintridge.lab.seeds import Seeds
 from flintridge.lab.world.fleet import World
 from flintridge.lab.world.fleet_plan import Spec
+from flintridge.peers.wire import Kind
 
 RESTART_MS = 1000.0  # from a drained server's end to its start, where it comes back
 SPARE_MS = 500.0  # that a churned server drains beyond the notice and the nodes' grace
 SHOWN = 20  # names in a record
+KINDS = {int(kind): kind.name.lower() for kind in Kind}
 ENDS, BEGINS = 0, 1  # at the same instant, ends go first
 
 Step = Callable[[], Awaitable[None]]
@@ -63,7 +65,6 @@
         self._side: list[asyncio.Task[None]] = []  # they wait for nodes to end
         self._task: asyncio.Task[None] | None = None
         self._stopped = False
-        self._runner = nodes
         self._signs = 0  # faults that wait for something to be seen
         self._planned = asyncio.Event()
 
@@ -102,9 +103,9 @@
         left = once.nth
         self._signs += 1
 
-        def seen(at_node: str, event: str) -> None:
+        def seen(record: AnyRecord) -> None:
             nonlocal left
-            if event == once.line and node in (None, at_node) and left > 0:
+            if left > 0 and _is_sign(once, node, record):
                 left -= 1
                 if left == 0:
                     now = self._clock.now()
@@ -125,7 +126,7 @@
                 over(None)
 
         late = self._clock.call_later(once.until_s * 1000, never)
-        self._runner.on_line(seen)
+        self._world.log.watch(seen)
 
     async def stop(self) -> None:
         """End the run and undo all that is on; processes that are down stay so."""
@@ -328,6 +329,17 @@
         self._world.log.add(Happened(t=self._clock.now(), name=name, begins=begins, detail=detail))
 
 
+def _is_sign(once: m.Seen, node: str | None, record: AnyRecord) -> bool:
+    match record:
+        case Line() if once.line:
+            return record.event == once.line and node in (None, record.node)
+        case View() if once.heard is not None:
+            return record.heard <= once.heard and node in (None, record.node)
+        case Datagram() if once.datagram:
+            return KINDS.get(record.kind) == once.datagram and node in (None, record.source)
+    return False
+
+
 def _ways(fault: m.PeerLink, nodes: Sequence[str]) -> tuple[tuple[str, str], ...]:
     """From and to, each once."""
     sources = [nodes[i] for i in fault.nodes]
--- a/flintridge/lab/judge/rules/peers.py
+++ b/flintridge/lab/judge/rules/peers.py
@@ -4,12 +4,13 @@
 """
 
 import math
+from collections import deque
 from dataclasses import dataclass
 
 from flintridge.lab.judge.facts import Day
 from flintridge.lab.judge.findings import Findings
 from flintridge.lab.judge.lives import Life
-from flintridge.lab.records import Happened, View, Way
+from flintridge.lab.records import Datagram, Happened, View, Way
 
 RULES = ("peers_stale", "peers_gap", "peers_cut_off", "peers_deaf", "peers_bytes")
 
@@ -18,7 +19,6 @@
 LONGEST_GAP_MS = 1_500.0  # a pause beyond this must make all old
 SETTLE_MS = 10_000.0  # beyond the limit of knowledge, until all that live are heard again
 WAY_MS = 300.0  # that a datagram may be on its way, beside what a fault adds
-DATAGRAM = 1_200
 COUNTED = ("heard", "through", "suspect")  # standings that count as heard
 ZONE_FAULTS = ("cut", "zone_loss", "slow_link")
 
@@ -61,7 +61,7 @@
         _gap(view, truth, findings)
     _cut_off(day, views, truth, findings)
     _deaf(day, views, truth, findings)
-    _bytes(day, views, findings)
+    _bytes(day, truth, findings)
 
 
 def _stale(view: View, truth: Truth, findings: Findings) -> None:
@@ -165,21 +165,24 @@
     return any(_bad(way) for way in last.values())
 
 
-def _bytes(day: Day, views: list[View], findings: Findings) -> None:
-    """Between two looks at one process no more went out than its bound lets pass."""
+def _bytes(day: Day, truth: Truth, findings: Findings) -> None:
+    """No second in which a process's datagrams are more than its bound lets pass; told once a node."""
     assert day.scenario.peers is not None
     rate = day.scenario.peers.bytes_per_s
-    before: dict[tuple[str, str], View] = {}
-    for view in views:
-        key = view.node, view.life
-        was = before.setdefault(key, view)
-        if view.t - was.t >= 1000:
-            before[key] = view
-            windows = math.ceil((view.t - was.t + day.slacks.limit) / 1000)
-            sent = view.bytes_out - was.bytes_out
-            if sent > windows * rate + DATAGRAM:
-                text = (
-                    f"{view.node} sent {sent} bytes to its peers in {view.t - was.t:.0f} ms;"
-                    f" {rate:g} a second are allowed"
-                )
-                findings.add("peers_bytes", view.t, text, [was, view], node=view.node)
+    windows: dict[str, deque[Datagram]] = {}
+    sums: dict[str, int] = {}
+    for record in day.records:
+        if not isinstance(record, Datagram) or record.fate == "doubled" or sums.get(record.source, 0) < 0:
+            continue
+        window = windows.setdefault(record.source, deque())
+        window.append(record)
+        total = sums.get(record.source, 0) + record.size
+        while window[0].t <= record.t - 1000 + 2 * truth.near:
+            total -= window.popleft().size
+        sums[record.source] = total
+        # Two lives of a name have a second's bytes each: one that was killed, and the next.
+        lives = [one.started for one in truth.lives.get(record.source, ())]
+        if total > rate and not any(record.t - 1000 - truth.near <= at <= record.t for at in lives):
+            text = f"{record.source} sent {total} bytes to its peers within a second; {rate:g} are allowed"
+            findings.add("peers_bytes", record.t, text, [window[0], record], node=record.source)
+            sums[record.source] = -1
--- a/flintridge/lab/partial/peernet.py
+++ b/flintridge/lab/partial/peernet.py
@@ -8,11 +8,11 @@
 from flintridge.lab.backend.loopback_fabric import LoopbackFabric
 from flintridge.lab.partial.own import own_format
 from flintridge.lab.partial.relay import Relay
-from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, view_of
-from flintridge.lab.records import Datagram, Log
+from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, view_of
+from flintridge.lab.records import Log
 from flintridge.lab.scenario.model import Peers
 from flintridge.lab.world.links import LinkTable
-from flintridge.peers.wire import Dropped, Wire
+from flintridge.peers.wire import Wire
 from flintridge.settings import Address, node_config
 
 CALL_S = 1.0  # for a console's answer; one that is late is no view
@@ -103,9 +103,4 @@
                 self._log.add(view_of(asked_at, node, said))
 
     def _passed(self, source: str, target: str, data: bytes, fate: str) -> None:
-        try:
-            kind = self._wire.decode(data).kind
-        except Dropped:
-            kind = -1
-        now = self._fabric.clock.now()
-        self._log.add(Datagram(t=now, source=source, target=target, size=len(data), fate=fate, kind=kind))
+        self._log.add(datagram_of(self._wire, self._fabric.clock.now(), source, target, data, fate))
--- a/flintridge/lab/partial/views.py
+++ b/flintridge/lab/partial/views.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from flintridge.lab.records import View
+from flintridge.lab.records import Datagram, View
+from flintridge.peers.wire import Dropped, Wire
 
 FLEET = "lab"
 KEY = b"the lab's own key, of 32 bytes.."
@@ -25,3 +26,12 @@
         bytes_out=said["counts"].get("bytes_out", 0),
         lives=lives,
     )
+
+
+def datagram_of(wire: Wire, t: float, source: str, target: str, data: bytes, fate: str) -> Datagram:
+    """The record of a datagram on its way, which is read as far as the fleet's key goes."""
+    try:
+        kind = wire.decode(data).kind
+    except Dropped:
+        kind = -1
+    return Datagram(t=t, source=source, target=target, size=len(data), fate=fate, kind=kind)
--- a/flintridge/lab/records.py
+++ b/flintridge/lab/records.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -228,7 +228,7 @@
 
 
 class Line(Record, tag="line"):
-    """A line of a node's log that is about its peers."""
+    """A line of a node's log, on a day whose nodes hear one another or on which a fault waits for one."""
 
     node: str
     event: str
@@ -281,7 +281,18 @@
 
     def __init__(self) -> None:
         self.records: list[AnyRecord] = []
-        self.add = self.records.append
+        self.add: Callable[[AnyRecord], None] = self.records.append
+        self._watchers: list[Callable[[AnyRecord], None]] = []
+
+    def watch(self, seen: Callable[[AnyRecord], None]) -> None:
+        """Have `seen` called with each record from now on, once it is in the log."""
+        self._watchers.append(seen)
+        self.add = self._add_and_tell
+
+    def _add_and_tell(self, record: AnyRecord) -> None:
+        self.records.append(record)
+        for seen in self._watchers:
+            seen(record)
 
     def __iter__(self) -> Iterator[AnyRecord]:
         return iter(self.records)
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -20,7 +20,7 @@
 from flintridge.lab.load.trace import write as write_trace
 from flintridge.lab.records import Log, NodeSaid
 from flintridge.lab.result import Result
-from flintridge.lab.scenario.model import NodeDrain, Scenario, Span
+from flintridge.lab.scenario.model import NodeDrain, Scenario, Span, keeps_lines
 from flintridge.lab.seeds import Seeds
 from flintridge.lab.truth import Truth
 from flintridge.lab.virtual import Network, Stuck, VirtualLoop
@@ -154,9 +154,6 @@
     def unquiesce(self, node: str) -> None:
         self._runner.unquiesce(node)
 
-    def on_line(self, seen: Callable[[str, str], None]) -> None:
-        self._runner.on_line(seen)
-
     def running(self, node: str) -> bool:
         return self._runner.running(node)
 
@@ -187,7 +184,9 @@
         peers = None
         if scenario.peers is not None:
             peers = VirtualPeers(scenario.peers, tuple(world.nodes), seeds.of("peers").randbytes)
-        made.append(VirtualNodes(fabric, log, start_ms, world.node_config, plant, sockets, peers))
+        nodes = VirtualNodes(fabric, log, start_ms, world.node_config, plant, sockets, peers)
+        nodes.keeps_lines = keeps_lines(scenario)
+        made.append(nodes)
         return made[0]
 
     ended = "whole"
--- a/flintridge/lab/scenario/model.py
+++ b/flintridge/lab/scenario/model.py
@@ -211,9 +211,13 @@
 
 
 class Seen(Part, kw_only=True, frozen=True):
-    """Something to wait for, from `at_s` on: so many lines of this event in the log of a node (or of any)."""
+    """Something to wait for, from `at_s` on, at a node (or at any): one of `line`, `heard` and `datagram`."""
 
-    line: Annotated[str, Meta(min_length=1, max_length=64)]
+    line: Annotated[str, Meta(max_length=64)] = ""  # an event of a node's log
+    heard: Count | None = None  # a node's console tells that it hears so many nodes or fewer, itself included
+    datagram: Literal["", "ping", "ack", "ask", "reached", "tried", "news", "done"] = (
+        ""  # that it sends a peer
+    )
     node: Count | None = None
     nth: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
     until_s: Positive = 10.0  # after `at_s`; a fault whose sign never came does not begin
@@ -506,3 +510,8 @@
     faults: tuple[AnyFault, ...] = ()
     expect: Expect = Expect()
     wall_limit_s: Annotated[float, Meta(gt=0, le=86_400)] = 600.0  # of real time; a run beyond it is ended
+
+
+def keeps_lines(scenario: Scenario) -> bool:
+    """Whether the nodes' own logs belong to what is seen of the day."""
+    return scenario.peers is not None or any(fault.once is not None for fault in scenario.faults)
--- a/flintridge/lab/virtual/datagram.py
+++ b/flintridge/lab/virtual/datagram.py
@@ -68,9 +68,13 @@
             return
         link = self._network.link(host.name, owner.name)
         lost, duplicated = getattr(link, "lost", None), getattr(link, "duplicated", None)
+        told, ends = self._network.on_datagram, (host.name, owner.name)
         if link.state != "up" or (lost is not None and lost()):
+            told(*ends, data, "cut" if link.state != "up" else "lost")
             return
-        for _ in range(2 if duplicated is not None and duplicated() else 1):
+        fates = ("passed", "doubled") if duplicated is not None and duplicated() else ("passed",)
+        for fate in fates:
+            told(*ends, data, fate)
             now = self._loop._now
             when = now + link.delay(now * 1000, len(data)) / 1000
             self._loop._kernel_at(when, self._deliver, data, address, link)
--- a/flintridge/lab/virtual/net.py
+++ b/flintridge/lab/virtual/net.py
@@ -290,6 +290,8 @@
         self.connect_s = connect_ms / 1000
         self.window = window
         self.datagram_buffer = datagram_buffer
+        # Told of each datagram: the two hosts, its bytes, and its fate (passed, doubled, lost or cut).
+        self.on_datagram: Callable[[str, str, bytes, str], None] = lambda *_: None
         self._loop: VirtualLoop | None = None
         self._links: dict[tuple[str, str], Link] = {}
         self._states: dict[tuple[str, str], str] = {}  # as `links_changed` last saw them
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -271,6 +271,17 @@
     assert [reason for event, reason in events if event == "peers_dropped"] == ["unknown"]  # once
 
 
+def test_twenty_nodes_that_start_again_and_again_are_held_in_few_lives_each_and_all_heard():
+    machines = fleet(20)
+    for turn in range(200):
+        name = machines.names[turn % 20]
+        machines.kill(name)
+        machines.run(50)
+        machines.start(name)
+        assert all(len(machines.machine(n).table.of(name)) <= MOST_LIVES for n in machines.names)
+    assert machines.run(20_000, lambda: all_hear(machines)) is not None
+
+
 def test_a_fresh_life_gives_its_place_to_none():
     table = Table("n0", 1, ("n1",), 0.0, Random(1))
     for life in range(MOST_LIVES):
--- a/tests/test_peers_config.py
+++ b/tests/test_peers_config.py
@@ -25,6 +25,7 @@
 from flintridge.lab.virtual import Network, VirtualLoop
 from flintridge.lab.world.fleet import World
 from flintridge.lab.world.links import LinkTable
+from flintridge.peers.wire import Kind
 from flintridge.settings import Address, ConfigError, node_config
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -151,6 +152,11 @@
             {"faults": [{**FAULT, "once": {"line": "peers", "node": 5}}]},
             "faults[0].once.node: there is no node 5",
         ),
+        ({"faults": [{**FAULT, "once": {"node": 1}}]}, "faults[0].once: it waits for exactly one of"),
+        (
+            {"peers": None, "faults": [{"what": "flush", "once": {"heard": 1}}]},
+            "faults[0].once.heard: nodes that hear nobody show none",
+        ),
         (
             {"faults": [{"what": "burst", "once": {"line": "peers"}}]},
             "faults[0].once: clients plan a burst ahead",
@@ -199,6 +205,27 @@
     assert result.ended == "whole"
 
 
+@pytest.mark.parametrize(
+    "sign", [{"heard": 2, "node": 1}, {"datagram": "ask", "nth": 2}, {"line": "drained"}]
+)
+def test_what_a_fault_may_wait_for(sign, tmp_path):
+    drain = {"what": "node_drain", "nodes": [1], "at_s": 1.0, "for_s": 2.0}
+    kill = {"what": "node_kill", "nodes": [0], "at_s": 1.0, "for_s": 0}
+    pause = {"what": "node_pause", "nodes": [2], "at_s": 0.5, "for_s": 0.5, "once": {"until_s": 7.0, **sign}}
+    raw = {**DAY, "peers": {}, "faults": [kill, drain, pause]}
+    events = tmp_path / "events"
+    play(msgspec.convert(raw, Scenario), 3, events=events)
+    records = [json.loads(line) for line in events.read_text().splitlines() if '"t":-' not in line]
+    paused = next(i for i, r in enumerate(records) if r["what"] == "node" and r["state"] == "paused")
+    seen = {
+        "heard": lambda r: r["what"] == "view" and r["node"] == "n1" and r["heard"] <= 2,
+        "datagram": lambda r: r["what"] == "datagram" and r["kind"] == Kind.ASK,
+        "line": lambda r: r["what"] == "line" and r["event"] == "drained",
+    }[next(iter(sign))]
+    signs = [r["t"] for r in records[:paused] if r["t"] >= 500 and seen(r)]
+    assert len(signs) >= sign.get("nth", 1) and records[paused]["t"] == signs[sign.get("nth", 1) - 1]
+
+
 def test_the_same_seed_gives_the_same_day_with_peers():
     raw = {
         **DAY,
