--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -282,6 +282,29 @@
     assert machines.run(20_000, lambda: all_hear(machines)) is not None
 
 
+def test_what_share_is_heard_and_since_when():
+    table = Table("n0", 1, ("n1", "n2", "n3"), 0.0, Random(1))
+    lives = {name: table.take(name, 9, 0.0) for name in table.names}
+
+    def heard(now, *names):
+        for name in names:
+            table.speaks(lives[name], 0, now, now)
+        table.look(now, LIMIT)
+        return table.view
+
+    assert [heard(0.0).hears(share) for share in (0.0, 0.25, 0.26, 1.0)] == [0.0, 0.0, None, None]
+    assert heard(100.0, "n1").epoch == 1 and table.view.share == 0.5
+    assert heard(200.0, "n2", "n3").hears(1.0) == 200.0 and table.view.hears(0.5) == 100.0
+    # n1 alone goes on: three quarters are lost, half is heard without a break.
+    heard(LIMIT, "n1")
+    view = heard(LIMIT + 300.0, "n1")
+    assert (view.heard, view.hears(0.5), view.hears(0.75)) == (2, 100.0, None)
+    assert heard(LIMIT + 400.0, "n2").hears(0.75) == LIMIT + 400.0 and view.epoch == 4
+    table.wake(LIMIT + 500.0)
+    assert heard(LIMIT + 500.0).hears(0.5) is None
+    assert heard(LIMIT + 600.0, "n1").hears(0.5) == LIMIT + 600.0 and view.epoch == 5
+
+
 def test_a_fresh_life_gives_its_place_to_none():
     table = Table("n0", 1, ("n1",), 0.0, Random(1))
     for life in range(MOST_LIVES):
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -245,6 +245,8 @@
         await rig.until(lambda: not rig.nodes.running("n0"))
         await rig.until(lambda: rig.standings("n1", "n0") == ["left"])
         assert rig.nodes._lives["n0"][-1].popen.returncode == 0
-        assert rig.nodes._lives["n0"][-1].counters["peers_datagrams_out"] > 0
+        counters = rig.nodes._lives["n0"][-1].counters
+        assert counters["peers_datagrams_out"] > 0 and counters["peers_tables_taken"] == 1
+        assert (await rig.console("n1"))["sealed"] is True
 
     run(3, work)
