Begin shared budgets: the rule by which parts are lent, tried in all interleavings

Need: every bound of the fleet is cut into even parts; nodes are to use what others do not, and the sum must hold at every instant even when nobody hears anybody. The rule and its proof come before any node uses it.

--- /dev/null
+++ b/benchmarks/lease_search.py
@@ -0,0 +1,47 @@
+"""All interleavings of a few processes that lend one another parts of a budget, to exhaustion.
+
+    python -m benchmarks.lease_search            # two minutes on six cores
+
+A row for each bound on what may happen: how often processes ask, renew, lose or double a word, are stopped,
+or start anew; the states seen, the steps to the farthest, whether that was all, and what broke.
+"""
+
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from flintridge.lab.explore import explore
+from flintridge.lab.explore.leases import Leases, Left
+
+SEARCHES: dict[str, tuple[tuple[float, ...], Left]] = {
+    "two processes, one loan, everything once": ((4.0, 6.0), Left(asks=1)),
+    "two, two loans, a loss, a double, a restart": (
+        (4.0, 6.0),
+        Left(renews=0, pauses=0),
+    ),
+    "two, two loans, a renewal, a pause": ((4.0, 6.0), Left(losses=0, doubles=0, restarts=0)),
+    "three, two loans": ((4.0, 6.0, 4.0), Left(renews=0, losses=0, doubles=0, pauses=0, restarts=0)),
+    "three, two loans, a renewal": ((4.0, 6.0, 6.0), Left(losses=0, doubles=0, pauses=0, restarts=0)),
+    "three, two loans, a restart": ((4.0, 4.0, 6.0), Left(renews=0, losses=0, doubles=0, pauses=0)),
+}
+
+
+def search(name: str) -> str:
+    speeds, left = SEARCHES[name]
+    began = time.perf_counter()
+    found = explore(Leases.begin(speeds, left))
+    took = time.perf_counter() - began
+    whole = "all" if found.whole else "cut short"
+    return (
+        f"| {name} | {found.states:,} | {found.depth} | {whole} | {found.broken or 'nothing'} | {took:.0f} |"
+    )
+
+
+def main() -> None:
+    print("| what may happen | states | steps | seen | broken | s |\n| --- | --- | --- | --- | --- | --- |")
+    with ProcessPoolExecutor(6) as pool:
+        for line in pool.map(search, SEARCHES):
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/flintridge/lab/explore/leases.py
@@ -0,0 +1,215 @@
+"""A few processes that lend one another parts of a budget, over links that lose, double and hold back.
+
+Time goes in steps of 5 true units; each process's clock makes 4 or 6 of them, so that two run apart by as
+much as the terms allow. A lease of 10 lasts two or three steps for a borrower, three or four for its lender.
+"""
+
+import itertools
+from collections.abc import Callable, Hashable, Iterator
+from dataclasses import dataclass, replace
+from typing import Self
+
+from flintridge.budgets.holding import Ask, Give, Grant, Holding, Loan, Peer, Terms, Word
+
+STEP = 5.0
+TERMS = Terms(part=2, floor=1, lease=10.0, drift=0.2)
+LONG_AGO = 40.0  # before the start: no loan of a life before counts
+
+
+@dataclass(slots=True, frozen=True)
+class Process:
+    name: str
+    life: int
+    clock: float
+    speed: float  # of its clock, a step
+    holding: Holding
+    paused: bool = False
+
+    @property
+    def peer(self) -> Peer:
+        return self.name, self.life
+
+
+Flying = tuple[str, Peer, Word]  # to whom, from whom
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """How often each may still happen."""
+
+    asks: int = 2
+    renews: int = 1
+    losses: int = 1
+    doubles: int = 1
+    pauses: int = 1
+    restarts: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Leases:
+    """`make` builds a holding, so that a defect may be planted in each."""
+
+    terms: Terms
+    processes: tuple[Process, ...]
+    left: Left
+    flying: tuple[Flying, ...] = ()
+    make: Callable[[Terms, float], Holding] = Holding
+
+    @classmethod
+    def begin(
+        cls,
+        speeds: tuple[float, ...],
+        left: Left | None = None,
+        terms: Terms = TERMS,
+        make: Callable[[Terms, float], Holding] = Holding,
+    ) -> Self:
+        """A process for each of `speeds`, all of which began long ago."""
+        processes = tuple(
+            Process("abcdef"[i], 1, LONG_AGO, speed, make(terms, 0.0)) for i, speed in enumerate(speeds)
+        )
+        return cls(terms, processes, left or Left(), (), make)
+
+    # What can happen
+
+    def steps(self) -> Iterator[tuple[str, Self]]:
+        yield "time goes on", self._tick()
+        for i, process in enumerate(self.processes):
+            yield from self._of_process(i, process)
+        for word in dict.fromkeys(self.flying):
+            yield from self._of_word(word)
+
+    def _of_process(self, i: int, process: Process) -> Iterator[tuple[str, Self]]:
+        left, name = self.left, process.name
+        if process.paused:
+            yield f"{name} goes on", self._with(i, replace(process, paused=False))
+        elif left.pauses:
+            yield f"{name} is stopped", self._with(i, replace(process, paused=True), pauses=-1)
+        if left.restarts:
+            anew = self.make(self.terms, process.clock)
+            life = replace(process, life=process.life + 1, holding=anew, paused=False)
+            yield f"{name} is killed and starts anew", self._with(i, life, restarts=-1)
+        if process.paused:
+            return
+        for other in self.processes:
+            if other.name != name and left.asks:
+                holding = process.holding.copy()
+                ask = holding.ask(process.clock, other.name, self.terms.part - self.terms.floor)
+                after = self._with(i, replace(process, holding=holding), asks=-1)
+                yield f"{name} asks {other.name}", after._send(other.name, process.peer, ask)
+        for lender, id in process.holding.borrowed:
+            holding = process.holding.copy()
+            again = holding.renew(process.clock, lender, id) if left.renews else None
+            if again is not None:
+                after = self._with(i, replace(process, holding=holding), renews=-1)
+                yield f"{name} renews its loan from {lender}", after._send(lender, process.peer, again)
+            holding = process.holding.copy()
+            give = holding.give(process.clock, lender, id)
+            if give is not None:
+                after = self._with(i, replace(process, holding=holding))
+                yield f"{name} gives back to {lender}", after._send(lender, process.peer, give)
+
+    def _of_word(self, word: Flying) -> Iterator[tuple[str, Self]]:
+        to, source, said = word
+        what = f"{type(said).__name__} from {source[0]} to {to}"
+        i = next(i for i, process in enumerate(self.processes) if process.name == to)
+        process = self.processes[i]
+        if not process.paused:
+            holding = process.holding.copy()
+            answer = holding.hear(process.clock, source, said)
+            after = self._without(word)._with(i, replace(process, holding=holding))
+            if answer is not None:
+                after = after._send(source[0], process.peer, answer)
+            yield f"{what} arrives", after
+        if self.left.losses:
+            yield f"{what} is lost", replace(self._without(word), left=self._spend(losses=-1))
+        if self.left.doubles:
+            doubled = tuple(sorted((*self.flying, word), key=repr))
+            yield f"{what} is doubled", replace(self, flying=doubled, left=self._spend(doubles=-1))
+
+    def _tick(self) -> Self:
+        moved = []
+        for process in self.processes:
+            clock, holding = process.clock + process.speed, process.holding
+            if not process.paused:
+                holding = holding.copy()
+                holding.look(clock)
+            moved.append(replace(process, clock=clock, holding=holding))
+        return replace(self, processes=tuple(moved))
+
+    def _spend(self, **less: int) -> Left:
+        return replace(self.left, **{name: getattr(self.left, name) + by for name, by in less.items()})
+
+    def _with(self, i: int, process: Process, **less: int) -> Self:
+        processes = (*self.processes[:i], process, *self.processes[i + 1 :])
+        return replace(self, processes=processes, left=self._spend(**less))
+
+    def _send(self, to: str, source: Peer, word: Word) -> Self:
+        return replace(self, flying=tuple(sorted((*self.flying, (to, source, word)), key=repr)))
+
+    def _without(self, word: Flying) -> Self:
+        at = self.flying.index(word)
+        return replace(self, flying=self.flying[:at] + self.flying[at + 1 :])
+
+    # What must hold
+
+    def broken(self) -> str:
+        used = {process.name: process.holding.usable(process.clock) for process in self.processes}
+        budget = self.terms.part * len(self.processes)
+        if sum(used.values()) > budget:
+            return f"{used} may be used together, of a budget of {budget}"
+        low = [name for name, amount in used.items() if amount < self.terms.floor]
+        return f"{low[0]} holds less than its floor: {used}" if low else ""
+
+    # What cannot be told apart
+
+    def key(self) -> Hashable:
+        """By times to go, not by the time; the least over all ways to call the processes."""
+        names = [process.name for process in self.processes]
+        keys = []
+        speeds = [process.speed for process in self.processes]
+        for order in itertools.permutations(range(len(names))):
+            if [speeds[k] for k in order] != speeds:
+                continue
+            called = {names[i]: j for j, i in enumerate(order)}
+            keys.append(repr((self._state(called, order), self._words(called))))
+        return min(keys), self.left
+
+    def _state(self, called: dict[str, int], order: tuple[int, ...]) -> list[object]:
+        state: list[object] = []
+        lives = {process.name: process.life for process in self.processes}
+        for i in order:
+            process = self.processes[i]
+            now, held = process.clock, process.holding
+            lent = sorted(
+                (called[peer[0]], lives[peer[0]] - peer[1], id, loan.amount, loan.until - now)
+                for (peer, id), loan in held.lent.items()
+                if loan.until > now
+            )
+            borrowed = sorted(
+                _owed(called[name], id, loan, now) for (name, id), loan in held.borrowed.items()
+            )
+            asked = sorted((called[name], id, amount) for (name, id), amount in held.asked.items())
+            young = max(0.0, held.begun + self.terms.lasts - now)
+            state.append((process.speed, process.paused, young, lent, borrowed, asked, held.last_id))
+        return state
+
+    def _words(self, called: dict[str, int]) -> list[str]:
+        by_name = {process.name: process for process in self.processes}
+        words: list[str] = []
+        for to, (name, life), word in self.flying:
+            back = by_name[name].life - life
+            # A stamp counts on the clock of whoever asked; beyond a lease it is all the same how old it is.
+            asker = by_name[to] if isinstance(word, Grant) else by_name[name]
+            stamp = getattr(word, "stamp", None)
+            age = None if stamp is None else min(asker.clock - stamp, 2 * self.terms.lease)
+            amount = getattr(word, "amount", 0)
+            words.append(repr((called[to], called[name], back, type(word).__name__, word.id, amount, age)))
+        return sorted(words)
+
+
+def _owed(name: int, id: int, loan: Loan, now: float) -> tuple[int, int, int, float]:
+    return name, id, loan.amount, max(0.0, loan.until - now)
+
+
+SPEEDS = tuple(itertools.combinations_with_replacement((0.8 * STEP, 1.2 * STEP), 3))
+__all__ = ["SPEEDS", "TERMS", "Ask", "Give", "Leases", "Left"]
