Let the decisions be told what a node holds of the tenants' quotas and of the gates' floors

Need: budgets that nodes lend one another reach the decisions by an event. It carries what holds now, until when, and what holds then by itself, so that a loan ends by the clock whether or not anybody tells so. Options not taken: a check of each loan's end at each use (more lines in the module, the same bound), and holdings by name of a budget (a lookup a request).

--- a/flintridge/api.py
+++ b/flintridge/api.py
@@ -265,7 +265,32 @@
     data: bytes
 
 
-Event = MemberList | Request | AttemptEnded | StreamStarted | ClientGone | TimerFired | Probed | PeerMessage
+@dataclass(slots=True, frozen=True)
+class Holdings:
+    """What this router may use of budgets whose parts routers lend one another; all of it anew in each event.
+
+    Amounts are in even parts of a budget (1.0 is what a router holds that is never told). From `until` on
+    `after` holds by itself: a loan ends by the clock, whether or not anybody is there to tell so.
+    """
+
+    tenants: dict[int, float] = field(default_factory=dict)  # of their quotas; one not named: 1.0
+    floors: float = 1.0  # of what the gates let through at the least
+    strict: bool = False  # what is beyond a quota is refused, whatever room there is
+    until: int = 1 << 63
+    after: "Holdings | None" = None
+
+
+Event = (
+    MemberList
+    | Request
+    | AttemptEnded
+    | StreamStarted
+    | ClientGone
+    | TimerFired
+    | Probed
+    | PeerMessage
+    | Holdings
+)
 
 
 # Actions
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -203,16 +203,16 @@
         self.mean_work = 0.0  # of requests
         self.held: dict[str, Held] = {}
         self.timers: dict[int, tuple[str, str]] = {}
-        self.last_token = 0
         self.order = itertools.count()
         self.fetches: dict[str, list[Held]] = {}  # keys that are being fetched, and who waits for them
         # First arrival and quota of what was refused: a flagged retry goes on from there. Guards against
         # storms, whose late repeats would be served for nothing and eat the tenants' quotas.
         self.refused: dict[tuple[int, int, str | None, int | None], tuple[int, bool]] = {}
         self.tokens: dict[int, tuple[float, int]] = {}  # of each tenant: left, and at which time
-        part = QUOTA_SLACK / settings.fleet_size
-        self.quotas = {i: part * tenant.quota_per_s for i, tenant in enumerate(settings.tenants)}
+        even = QUOTA_SLACK / settings.fleet_size
+        self.quotas = {i: even * tenant.quota_per_s for i, tenant in enumerate(settings.tenants)}
         self.spare = 1.0  # part of what is beyond quotas that is let in
+        self.holdings = api.Holdings()
         self.watch_failures = 0
         self.handlers = {
             api.MemberList: self.on_list,
@@ -221,10 +221,13 @@
             api.StreamStarted: self.on_finished,
             api.ClientGone: self.on_finished,
             api.TimerFired: self.on_timer,
+            api.Holdings: self.on_holdings,
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.out = now, []
+        if now >= self.holdings.until and self.holdings.after:
+            self.on_holdings(self.holdings.after)
         if handler := self.handlers.get(type(event)):  # none for probes and peers, which are not used
             handler(event)  # type: ignore[operator]  # each takes the one kind that it stands for
         return self.out
@@ -232,7 +235,6 @@
     # The list of servers
 
     def on_list(self, event: api.MemberList) -> None:
-        on_request = self.settings.discovery is api.Discovery.ON_REQUEST
         if event.kind is ListKind.FAILED:
             self.watch_failures += 1
             pause = 500 * MS * 2 ** min(self.watch_failures - 1, 3)
@@ -259,7 +261,7 @@
         self.build_ring()
         for server in [s for s, known in self.servers.items() if known.member.state is MemberState.GONE]:
             self.drop(server)
-        if event.kind is ListKind.CACHED and on_request:
+        if event.kind is ListKind.CACHED and self.settings.discovery is api.Discovery.ON_REQUEST:
             self.out.append(api.Watch())
 
     def drop(self, server: str) -> None:
@@ -284,21 +286,25 @@
             self.top_weight = max(self.top_weight, *weights)
             self.mean_weight = sum(weights) / len(weights)
         self.shares_until = 0
-        # All routers' floors together let one attempt a server in, and a good round adds as many.
-        self.caches.floor = max(LEAST_LIMIT, len(self.ready) / self.settings.fleet_size)
-        self.origin.floor = max(LEAST_LIMIT, min(2.0, self.caches.floor))
-        self.caches.step, self.origin.step = (min(1.0, gate.floor) for gate in (self.caches, self.origin))
+        self.set_floors()
         if self.caches.starting:
             self.caches.limit = max(self.caches.limit, 2.0 * len(self.ready))
         if self.on_ring != set(self.ready):
             stay = {self.servers[s].number for s in self.ready if s in self.on_ring}
             ring = [entry for entry in self.ring if entry >> 8 & 0xFFFFFF in stay]
-            for name in self.ready:
-                if name not in self.on_ring:
-                    ring += points(name, self.servers[name].number)
+            for name in set(self.ready) - self.on_ring:
+                ring += points(name, self.servers[name].number)
             ring.sort()
             self.ring, self.on_ring = array("Q", ring), set(self.ready)
 
+    def set_floors(self) -> None:
+        """All routers' floors together let one attempt a server in, and a good round adds as many."""
+        even = len(self.ready) / self.settings.fleet_size
+        self.caches.floor, self.origin.floor = (
+            max(LEAST_LIMIT, part * self.holdings.floors) for part in (even, min(2.0, even))
+        )
+        self.caches.step, self.origin.step = (min(1.0, gate.floor) for gate in (self.caches, self.origin))
+
     # The ordinary path
 
     def on_request(self, event: api.Request) -> None:
@@ -309,11 +315,12 @@
         self.mean_work = self.mean_work + 0.05 * (work - self.mean_work) if self.mean_work else work
         repeat = event.retry or event.work_ns is not None
         known = self.refused.pop(self.likeness(event), None) if repeat else None
-        if known is not None and self.now < known[0] + request.cls.deadline_ns:
-            request.arrived, request.over_quota = known
-        else:
-            request.over_quota = self.beyond_quota(event)
-        if request.over_quota and self.random.random() >= self.spare:
+        if known is None or self.now >= known[0] + request.cls.deadline_ns:
+            known = self.now, self.beyond_quota(event)
+        elif self.holdings.strict:
+            known = known[0], self.beyond_quota(event)
+        request.arrived, request.over_quota = known
+        if request.over_quota and (self.holdings.strict or self.random.random() >= self.spare):
             self.give_up(request)
         else:
             self.route(request)
@@ -358,9 +365,8 @@
     def value(self, request: Held) -> float:
         """Worth for each unit of work, and less for what is beyond the tenant's quota."""
         worth = request.cls.worth * (self.settings.over_share_worth if request.over_quota else 1)
-        if self.settings.worth_by_work:
-            return worth
-        return worth / max(self.latency.get((request.event.cls, False), 0.0), MS)
+        usual = max(self.latency.get((request.event.cls, False), 0.0), MS)
+        return worth if self.settings.worth_by_work else worth / usual
 
     @staticmethod
     def likeness(event: api.Request) -> tuple[int, int, str | None, int | None]:
@@ -372,14 +378,26 @@
         Guards the others against one that floods. A router that gets an uneven part of a tenant's traffic
         judges too strictly or too mildly, which matters only while a gate is narrow.
         """
-        if not (rate := self.quotas.get(event.tenant)):
+        if not self.quotas.get(event.tenant):
             return False
-        depth = max(QUOTA_LEAST, rate)
-        tokens, at = self.tokens.get(event.tenant, (depth, self.now))
-        tokens = min(depth, tokens + rate * (self.now - at) / (1000 * MS))
+        tokens = self.fill(event.tenant)
         self.tokens[event.tenant] = (tokens - 1 if tokens >= 1 else tokens, self.now)
         return tokens < 1
 
+    def rate(self, tenant: int) -> float:
+        return self.quotas.get(tenant, 0.0) * self.holdings.tenants.get(tenant, 1.0)
+
+    def fill(self, tenant: int) -> float:
+        depth = max(QUOTA_LEAST, rate := self.rate(tenant))
+        tokens, at = self.tokens.get(tenant, (depth, self.now))
+        return min(depth, tokens + rate * (self.now - at) / (1000 * MS))
+
+    def on_holdings(self, event: api.Holdings) -> None:
+        # By the rates of before: a loan must not count for a time in which its lender had the use of it.
+        self.tokens = {tenant: (self.fill(tenant), self.now) for tenant in self.tokens}
+        self.holdings = event
+        self.set_floors()
+
     def admit(self, gate: Gate) -> None:
         passed: list[tuple[float, int, Held]] = []
         while gate.waiting and gate.room(self.now) and len(passed) < 4:
@@ -668,11 +686,9 @@
         for follower in self.fetches.pop(self.fetched_key(request) or "", []):
             if follower.gate is not self.origin or follower.done:
                 continue
-            if outcome is Outcome.OK and request.missed_at is not None:
+            if stored := outcome is Outcome.OK and request.missed_at is not None:
                 follower.prefer = request.missed_at
-                self.enter(follower, self.caches)
-            else:
-                self.enter(follower, self.origin)
+            self.enter(follower, self.caches if stored else self.origin)
 
     # Outcomes
 
@@ -726,9 +742,7 @@
             self.end_fetch(request, event.outcome)
         if event.outcome not in NEVER_RAN and request.ran_at is None:
             request.ran_at, request.ran_on = attempt.sent_at, known.member
-        if event.final:
-            request.done = True
-        if request.done:
+        if event.final or request.done:
             self.forget(request)
         elif not any(a.open for a in request.attempts):
             self.next_step(request, attempt, event.outcome, spoilt)
@@ -777,7 +791,6 @@
             self.refused.pop(next(iter(self.refused)))
         uid, back = request.event.id, self.come_back(request)
         self.out.append(api.Refuse(uid, back) if harmless else api.Fail(uid))
-        request.done = True
         self.forget(request)
 
     def come_back(self, request: Held) -> int:
@@ -788,7 +801,7 @@
         limits, event = self.settings.limits, request.event
         if not limits.retry_after:
             return 0
-        rate = self.quotas.get(event.tenant)
+        rate = self.rate(event.tenant)
         if request.over_quota and rate:
             tokens, at = self.tokens.get(event.tenant, (1.0, self.now))
             wait = max(0.0, 1 - tokens) * 1000 * MS / rate - (self.now - at)
@@ -801,6 +814,7 @@
         return int(min(max(wait, 1 * MS), limits.max_retry_after_ns))
 
     def forget(self, request: Held) -> None:
+        request.done = True
         if request.gate is not None:
             request.gate.leave()
             request.gate = None
@@ -810,15 +824,14 @@
     def on_finished(self, event: api.StreamStarted | api.ClientGone) -> None:
         """The client has its answer, or a stream that is its own from now on, or is gone."""
         if (request := self.held.get(event.id)) is not None:
-            request.done = True
             self.forget(request)
 
     # Timers
 
     def timer(self, at: int, what: str, request_id: str = "") -> None:
-        self.last_token += 1
-        self.timers[self.last_token] = (what, request_id)
-        self.out.append(api.SetTimer(at, self.last_token))
+        token = next(self.order)
+        self.timers[token] = (what, request_id)
+        self.out.append(api.SetTimer(at, token))
 
     def on_timer(self, event: api.TimerFired) -> None:
         what, request_id = self.timers.pop(event.token, ("", ""))
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -163,6 +163,21 @@
     bytes_per_s: float = 16_000.0
 
 
+@dataclass(slots=True, frozen=True)
+class BudgetsConfig:
+    """Which budgets of the fleet are lent between nodes that hear one another; only in the node's own format.
+
+    Each is cut into one even part a node; `floor` is the share of its part that a node never lends.
+    """
+
+    tenants: bool = False  # the tenants' quotas
+    floors: bool = False  # what gates let through at the least
+    strict: bool = False  # what is beyond a quota is refused, whatever room there is
+    floor: float = 0.25
+    lease_ms: float = 4_000.0  # of a loan, by the borrower's clock
+    bytes_per_s: float = 2_000.0  # of what is said of budgets; a part of what [peers] allows
+
+
 @dataclass(slots=True, frozen=True)
 class NodeConfig:
     """What a real node is told at its start."""
@@ -181,6 +196,7 @@
     log_repeats_per_s: int = 50  # lines of one event; the rest is counted in one
     console: Address | None = None  # for operators; None: no such address
     peers: PeersConfig | None = None  # None: this node hears no other, and holds nothing of that part
+    budgets: BudgetsConfig | None = None  # None: an even part of each, as without peers
 
     @property
     def client_sockets(self) -> int:
