Lend parts of quotas and gates' floors between nodes that hear one another

Need: what a node does not use of its even part lies idle while another refuses for want of it. The ledger chooses what to ask, whom, and what to give back; the holdings under it keep the sum. It is a topic of the peers (a new kind of datagram carries words at once, and facts go only to lives that can tell how old they are), driven by net/budgets.py, off without a configuration. A renewal is refused where the lender needs its part; a call that nobody answers is taken back (a new step of the explorer). Ruled out: facts in NEWS, which brings 24 words of others along; silence for a no, after which each asker asks again.

--- a/benchmarks/lease_search.py
+++ b/benchmarks/lease_search.py
@@ -19,6 +19,10 @@
         Left(renews=0, pauses=0),
     ),
     "two, two loans, a renewal, a pause": ((4.0, 6.0), Left(losses=0, doubles=0, restarts=0)),
+    "two, two loans, a call taken back, a double": (
+        (4.0, 6.0),
+        Left(renews=0, losses=0, pauses=0, restarts=0, forgoes=1),
+    ),
     "three, two loans": ((4.0, 6.0, 4.0), Left(renews=0, losses=0, doubles=0, pauses=0, restarts=0)),
     "three, two loans, a renewal": ((4.0, 6.0, 6.0), Left(losses=0, doubles=0, pauses=0, restarts=0)),
     "three, two loans, a restart": ((4.0, 4.0, 6.0), Left(renews=0, losses=0, doubles=0, pauses=0)),
--- a/flintridge/budgets/holding.py
+++ b/flintridge/budgets/holding.py
@@ -99,6 +99,18 @@
         whole = max(0, self.own(now) - self._out(now)) + borrowed
         return whole if self.alone else whole // 2
 
+    def after(self, now: float) -> int:
+        """What may be used at any later instant at which nothing more was heard: nothing borrowed, and no
+        more of its own than now."""
+        if now < self.quiet_until:
+            return 0
+        whole = max(0, self.own(now) - self._out(now))
+        return whole if self.alone else whole // 2
+
+    def until(self, now: float) -> float:
+        """The first end of what is borrowed; infinite where nothing is."""
+        return min((loan.until for loan in self.borrowed.values() if now < loan.until), default=float("inf"))
+
     def own(self, now: float) -> int:
         """Its part. At first its floor: the life before it may have lent the rest, and nobody remembers."""
         return self.terms.part if now >= self.begun + self.terms.lasts else self.terms.floor
@@ -129,6 +141,13 @@
         self.asked.pop((lender, id), None)
         return Give(id) if self.borrowed.pop((lender, id), None) is not None else None
 
+    def forgo(self, lender: str, id: int) -> Give:
+        """A call that nobody answered is taken back: a grant that comes later counts nothing here, and the
+        lender need not wait for its end."""
+        self.asked.pop((lender, id), None)
+        self.borrowed.pop((lender, id), None)
+        return Give(id)
+
     def hear(self, now: float, peer: Peer, word: Word, need: int = 0) -> Word | None:
         """Take a word in; the answer to it, if any. `need`: what this process keeps for itself."""
         match word:
@@ -144,7 +163,8 @@
         key, until = (peer, ask.id), now + self.terms.lasts
         loan = self.lent.get(key)
         if loan is not None and now < loan.until:
-            if not self.alone:
+            # Guards this process's own need: what it lent comes back for it at the end, and no earlier.
+            if not self.alone or self.own(now) - self._out(now) < min(need, self.own(now)):
                 return None  # it ends by itself
             self.lent[key] = Loan(loan.amount, max(loan.until, until))
             return Grant(ask.id, loan.amount, ask.stamp)
--- /dev/null
+++ b/flintridge/budgets/ledger.py
@@ -0,0 +1,355 @@
+"""One process's part in all budgets that its fleet lends: what it needs, whom it asks, what it may use.
+
+A state machine without I/O over the holdings of `holding.py`, which keep the bound whatever this one does:
+it only chooses. Its words are one topic of the peers' datagrams; nothing of it waits for an answer. Times are
+float milliseconds of the process's own clock, amounts whole units of which an even part has `PART`.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from flintridge.budgets.holding import Ask, Give, Grant, Holding, Peer, Terms, Word
+from flintridge.budgets.words import MOST_OFFERS, MOST_WORDS, Said, decode, encode, flat, mark_of, word_of
+from flintridge.peers.table import Life
+
+PART = 1_000  # units of an even part
+FLOORS = "floors"  # the budget whose need is told by the paces of all
+LEAST = 50  # units: less is not worth a loan's words
+CHUNK = 250  # units of one loan, at the most: a lender gets its part back in pieces
+OPEN_ASKS = 4  # at a time, of a budget
+AGAIN = 300.0  # ms after which a call that nobody answered is said again
+TRIES = 3
+RENEW_PART = 0.5  # of a lease is over when it is renewed
+OFFER_AGE = 10_000.0  # ms for which an offer counts, from when it was said
+PACE_AGE = 20_000.0
+# Hysteresis: asked for where this much of what is held is needed, and then for so much more than the need;
+# given back where what is left is still so much more. Guards against loans that come and go by chance.
+ASK_AT = 0.9
+ASK_FOR = 1.15
+KEEP = 1.4
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """One that is lent. `whole` is what all nodes together may use, in `unit`."""
+
+    name: str
+    whole: float
+    unit: str
+    nodes: int  # it is cut into so many even parts
+    terms: Terms
+
+    @property
+    def mark(self) -> bytes:
+        return mark_of(self.name, self.whole, self.nodes, self.terms)
+
+
+@dataclass(slots=True)
+class Offer:
+    life: int
+    amount: int
+    at: float
+
+
+@dataclass(slots=True)
+class Call:
+    """One that is not answered yet."""
+
+    life: int
+    amount: int
+    said_at: float
+    tries: int = 1
+
+
+@dataclass(slots=True)
+class Account:
+    """One budget here."""
+
+    budget: Budget
+    holding: Holding
+    need: float = PART  # units, as last told
+    offers: dict[str, Offer] = field(default_factory=dict)
+    calls: dict[tuple[str, int], Call] = field(default_factory=dict)
+    lenders: dict[tuple[str, int], int] = field(default_factory=dict)  # their lives
+    renewed: dict[tuple[str, int], float] = field(default_factory=dict)  # when that was last asked for
+    denied: set[tuple[str, int]] = field(default_factory=set)  # loans that will not be renewed
+
+
+class Ledger:
+    """`told` is called with an event's name and fields for what staff should see."""
+
+    name = "budgets"  # of the topic
+
+    def __init__(
+        self,
+        peers: tuple[str, ...],
+        budgets: tuple[Budget, ...],
+        bytes_per_s: float,
+        now: float,
+        rng: Random,
+        told: Callable[..., None] = lambda event, **fields: None,
+        make: Callable[[Terms, float], Holding] = Holding,
+    ) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.accounts = {one.name: Account(one, make(one.terms, now)) for one in budgets}
+        self.counts: Counter[str] = Counter()
+        self.pace = 0.0  # requests a second here, as last told
+        self._marks = {one.budget.mark: one for one in self.accounts.values()}
+        self._peers = frozenset(peers)
+        self._rng = rng
+        self._told = told
+        self._out: dict[Peer, dict[tuple[bytes, str, int], Word]] = {}  # what is still to be said
+        self._paces: dict[str, tuple[float, float]] = {}  # of others, and when that was said
+        self._differ: set[str] = set()
+        self.leaving = False
+
+    # What may be used
+
+    def usable(self, name: str, now: float) -> float:
+        """Of that budget at this instant, in even parts."""
+        return self.accounts[name].holding.usable(now) / PART
+
+    def after(self, name: str, now: float) -> float:
+        """What of it may be used at any later instant if nothing more is heard, in even parts."""
+        return self.accounts[name].holding.after(now) / PART
+
+    def until(self, now: float) -> float:
+        """The instant at which the first loan had here ends; infinite where there is none."""
+        return min((one.holding.until(now) for one in self.accounts.values()), default=math.inf)
+
+    # What is needed
+
+    def need(self, name: str, parts: float) -> None:
+        """So much of that budget is needed here, in even parts, as lately seen."""
+        account = self.accounts[name]
+        account.need = min(parts, account.budget.nodes) * PART
+
+    def waiting(self) -> list[Peer]:
+        """Lives for which there are words, which need not wait for the next datagram."""
+        return list(self._out)
+
+    def unheard(self, peer: Peer) -> None:
+        """That life is not heard (any more): what was to be said to it is lost, as a datagram would be."""
+        self._out.pop(peer, None)
+
+    def tick(self, now: float) -> None:
+        """To be called every 50 ms or so."""
+        if FLOORS in self.accounts and not self.leaving:
+            self._need_by_paces(now)
+        for account in self.accounts.values():
+            self._end(account, now)
+            self._repeat(account, now)
+            if not self.leaving:
+                self._renew(account, now)
+                self._give_back(account, now)
+                self._ask(account, now)
+
+    def leave(self, now: float) -> None:
+        """This process ends in order: what is borrowed goes back, and its own part is lent beyond its floor,
+        until the loans end."""
+        self.leaving = True
+        for account in self.accounts.values():
+            account.need = 0.0
+            for lender, id in [*account.calls, *account.holding.borrowed]:
+                self._forgo(account, lender, id)
+
+    def joined(self, now: float, notice: float = 0.0) -> None:
+        """Another process of this node lives; see `Holding.joined`."""
+        for account in self.accounts.values():
+            account.holding.joined(now, notice)
+        self._told("budgets_together")
+
+    def parted(self, now: float) -> None:
+        """This process is alone again."""
+        for account in self.accounts.values():
+            account.holding.parted(now)
+        self._told("budgets_alone")
+
+    def _need_by_paces(self, now: float) -> None:
+        """What is cut by nodes is needed by traffic: its pace against the mean of those heard."""
+        paces = [pace for pace, at in self._paces.values() if now < at + PACE_AGE]
+        mean = (sum(paces) + self.pace) / (len(paces) + 1)
+        self.need(FLOORS, self.pace / mean if paces and mean > 0 else 1.0)
+
+    # Borrowing
+
+    def _end(self, account: Account, now: float) -> None:
+        holding = account.holding
+        for key, loan in holding.borrowed.items():
+            if now >= loan.until:
+                self.counts["expired"] += 1
+                if account.need > holding.usable(now):
+                    self._told("budgets_lease_over", budget=account.budget.name, lender=key[0])
+                for of in (account.lenders, account.renewed):
+                    of.pop(key, None)
+                account.denied.discard(key)
+        holding.look(now)
+
+    def _repeat(self, account: Account, now: float) -> None:
+        for (lender, id), call in [*account.calls.items()]:
+            if now < call.said_at + AGAIN:
+                continue
+            if call.tries >= TRIES:
+                self.counts["unanswered"] += 1
+                account.offers.pop(lender, None)
+                self._forgo(account, lender, id)
+                continue
+            call.tries, call.said_at = call.tries + 1, now
+            self._say((lender, call.life), account, Ask(id, call.amount, now))
+
+    def _forgo(self, account: Account, lender: str, id: int) -> None:
+        call = account.calls.pop((lender, id), None)
+        life = account.lenders.pop((lender, id), None) if call is None else call.life
+        give = account.holding.forgo(lender, id)
+        if life is not None:
+            self._say((lender, life), account, give)
+
+    def _renew(self, account: Account, now: float) -> None:
+        holding, lease = account.holding, account.budget.terms.lease
+        for (lender, id), loan in [*holding.borrowed.items()]:
+            key = lender, id
+            due = now >= loan.until - (1 - RENEW_PART) * lease and now < loan.until
+            if not due or key in account.denied or now < account.renewed.get(key, -math.inf) + AGAIN:
+                continue
+            ask = holding.renew(now, lender, id)
+            if ask is not None:
+                account.renewed[key] = now
+                self._say((lender, account.lenders[key]), account, ask)
+
+    def _give_back(self, account: Account, now: float) -> None:
+        holding = account.holding
+        for (lender, id), loan in [*holding.borrowed.items()]:
+            if holding.usable(now) - loan.amount > KEEP * account.need + LEAST:
+                self.counts["given_back"] += 1
+                self._forgo(account, lender, id)
+
+    def _ask(self, account: Account, now: float) -> None:
+        holding = account.holding
+        held = holding.usable(now)
+        if account.need < ASK_AT * held or not holding.alone:
+            return
+        short = ASK_FOR * account.need + LEAST - held - sum(call.amount for call in account.calls.values())
+        for lender, offer in self._by_chance(account, now):
+            if short < LEAST or len(account.calls) >= OPEN_ASKS:
+                return
+            amount = min(CHUNK, math.ceil(short), offer.amount)
+            ask = holding.ask(now, lender, amount)
+            account.calls[lender, ask.id] = Call(offer.life, amount, now)
+            self._say((lender, offer.life), account, ask)
+            self.counts["asked"] += 1
+            offer.amount -= amount
+            short -= amount
+
+    def _by_chance(self, account: Account, now: float) -> Iterator[tuple[str, Offer]]:
+        """Offers that still count, larger ones likelier first. Guards the largest against all who need."""
+        asked = {lender for lender, _ in account.calls}
+        account.offers = {
+            lender: offer for lender, offer in account.offers.items() if now < offer.at + OFFER_AGE
+        }
+        good = [
+            (lender, offer)
+            for lender, offer in account.offers.items()
+            if offer.amount >= LEAST and lender not in asked
+        ]
+        good.sort(key=lambda one: math.log(1 - self._rng.random()) / one[1].amount, reverse=True)
+        return iter(good)
+
+    # The topic
+
+    def say(self, now: float, to: Life, room: int) -> bytes | None:
+        """The fact for a datagram to that life."""
+        peer = to.name, to.life
+        words = self._out.get(peer, {})
+        flats = [flat(mark, word) for (mark, _, _), word in words.items()][:MOST_WORDS]
+        offers = [
+            (mark, spare) for mark, one in self._marks.items() if (spare := self._lendable(one, now)) >= LEAST
+        ][:MOST_OFFERS]
+        if not flats and not offers and FLOORS not in self.accounts:
+            return None
+        while True:
+            data = encode(Said(round(self.pace, 1), tuple(offers), tuple(flats)))
+            if len(data) <= room:
+                break
+            if not offers and not flats:
+                return None
+            (offers or flats).pop()
+        for mark, kind, id, *_ in flats:
+            words.pop((mark, ("Ask", "Grant", "Give")[kind], id), None)
+        if not words:
+            self._out.pop(peer, None)
+        return data
+
+    def hear(self, now: float, name: str, life: int, as_of: float, data: bytes) -> None:
+        """What a peer said, at `as_of` or later."""
+        said = decode(data)
+        if said is None or name not in self._peers:
+            self.counts["malformed"] += 1
+            return
+        self._paces[name] = said.pace, as_of
+        for account in self.accounts.values():
+            account.offers.pop(name, None)
+        for mark, amount in said.offers:
+            if (account_of := self._marks.get(mark)) is None:
+                self._differs(name)
+            else:
+                account_of.offers[name] = Offer(life, amount, as_of)
+        for mark, kind, id, amount, stamp in said.words:
+            if (account_of := self._marks.get(mark)) is None:
+                self.counts["refused_terms"] += 1
+                self._differs(name)
+            else:
+                self._word(account_of, (name, life), word_of(kind, id, amount, stamp), now)
+
+    def _differs(self, name: str) -> None:
+        """Guards the sum: a part of another size, or of another number of parts, is not the same amount."""
+        if name not in self._differ:
+            self._differ.add(name)
+            self._told("budgets_terms_differ", peer=name)
+
+    def _word(self, account: Account, peer: Peer, word: Word, now: float) -> None:
+        holding, key = account.holding, (peer[0], getattr(word, "id", 0))
+        match word:
+            case Ask():
+                known = (peer, word.id) in holding.lent
+                need = account.need if known else self._kept(account)
+                grant = holding.hear(now, peer, word, math.ceil(need))
+                if grant is None:
+                    self.counts["refused_need"] += 1
+                    grant = Grant(word.id, 0, word.stamp)  # no loan: a word that nothing will come
+                elif not known:
+                    self.counts["lent"] += 1
+                self._say(peer, account, grant)
+            case Grant(id, 0, _):
+                if account.calls.pop(key, None) is not None:
+                    self.counts["denied"] += 1
+                    account.offers.pop(peer[0], None)
+                    holding.forgo(peer[0], id)
+                elif key in holding.borrowed:
+                    account.denied.add(key)
+            case Grant():
+                before = key in holding.borrowed
+                holding.hear(now, peer, word)
+                if key in holding.borrowed:
+                    account.calls.pop(key, None)
+                    account.lenders[key] = peer[1]
+                    self.counts["renewed" if before else "granted"] += 1
+            case Give():
+                holding.hear(now, peer, word)
+
+    def _kept(self, account: Account) -> float:
+        """What a new loan must leave here."""
+        return 0.0 if self.leaving else ASK_FOR * account.need + LEAST
+
+    def _lendable(self, account: Account, now: float) -> int:
+        return account.holding.lendable(now, math.ceil(self._kept(account)))
+
+    def _say(self, peer: Peer, account: Account, word: Word) -> None:
+        """To be said with the next datagram there. Of one kind and loan the newest word counts; bounded by
+        what one process may have open with another."""
+        words = self._out.setdefault(peer, {})
+        words[account.budget.mark, type(word).__name__, word.id] = word
+        while len(words) > MOST_WORDS:
+            words.pop(next(iter(words)))  # lost like any other: calls are said again, leases end
--- /dev/null
+++ b/flintridge/budgets/words.py
@@ -0,0 +1,77 @@
+"""What processes say of budgets, in bytes: one fact of the peers' datagrams.
+
+A budget goes by four bytes that stand for its name and all of its terms: processes that were told of another
+size, another number of nodes or another lease do not mean the same by a part of it, and lend one another
+nothing.
+"""
+
+import hashlib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from flintridge.budgets.holding import Ask, Give, Grant, Terms, Word
+
+MOST_OFFERS = 64  # of one fact
+MOST_WORDS = 32
+ASK, GRANT, GIVE = 0, 1, 2
+
+Mark = Annotated[bytes, Meta(min_length=4, max_length=4)]
+Units = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+
+
+class Said(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One fact. What a later version adds stands at the end, where this one does not look."""
+
+    pace: Annotated[float, Meta(ge=0, le=1e9)]  # requests a second at this node, lately
+    offers: Annotated[tuple[tuple[Mark, Units], ...], Meta(max_length=MOST_OFFERS)] = ()
+    words: Annotated[
+        tuple[
+            tuple[
+                Mark,
+                Annotated[int, Meta(ge=0, le=2)],
+                Annotated[int, Meta(ge=0, lt=1 << 62)],  # the loan's number
+                Units,
+                Annotated[float, Meta(ge=0, le=1e15)],  # the borrower's stamp
+            ],
+            ...,
+        ],
+        Meta(max_length=MOST_WORDS),
+    ] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Said)
+
+
+def mark_of(name: str, whole: float, nodes: int, terms: Terms) -> bytes:
+    """Of a budget: its name, its size, how many even parts it is cut into, and the terms of loans."""
+    text = f"{name}\n{whole!r}\n{nodes}\n{terms.part}\n{terms.lease!r}\n{terms.drift!r}"
+    return hashlib.blake2b(text.encode(), digest_size=4, person=b"flintridge-budg").digest()
+
+
+def flat(mark: bytes, word: Word) -> tuple[bytes, int, int, int, float]:
+    match word:
+        case Ask(id, amount, stamp):
+            return mark, ASK, id, amount, stamp
+        case Grant(id, amount, stamp):
+            return mark, GRANT, id, amount, stamp
+        case Give(id):
+            return mark, GIVE, id, 0, 0.0
+
+
+def word_of(kind: int, id: int, amount: int, stamp: float) -> Word:
+    return Give(id) if kind == GIVE else (Ask, Grant)[kind](id, amount, stamp)
+
+
+def encode(said: Said) -> bytes:
+    return _encoder.encode(said)
+
+
+def decode(data: bytes) -> Said | None:
+    """None where it is none."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
--- a/flintridge/lab/explore/leases.py
+++ b/flintridge/lab/explore/leases.py
@@ -43,6 +43,7 @@
     doubles: int = 1
     pauses: int = 1
     restarts: int = 1
+    forgoes: int = 0  # calls taken back before they are answered
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,6 +97,12 @@
                 ask = holding.ask(process.clock, other.name, self.terms.part - self.terms.floor)
                 after = self._with(i, replace(process, holding=holding), asks=-1)
                 yield f"{name} asks {other.name}", after._send(other.name, process.peer, ask)
+        for lender, id in process.holding.asked:
+            if (lender, id) not in process.holding.borrowed and left.forgoes:
+                holding = process.holding.copy()
+                back = holding.forgo(lender, id)
+                after = self._with(i, replace(process, holding=holding), forgoes=-1)
+                yield f"{name} takes its call to {lender} back", after._send(lender, process.peer, back)
         for lender, id in process.holding.borrowed:
             holding = process.holding.copy()
             again = holding.renew(process.clock, lender, id) if left.renews else None
--- /dev/null
+++ b/flintridge/lab/partial/lending.py
@@ -0,0 +1,185 @@
+"""Processes that lend one another parts of budgets, in virtual time: real peers and ledgers on the links
+of `machines`, their needs drawn, and the sum of what all may use looked at from outside.
+
+A day is drawn from one seed: links that lose, delay, double, reorder and are cut, one way or both, processes
+that are stopped, killed, started anew and leave, clocks that run apart, needs that change.
+"""
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from flintridge.budgets.holding import Holding, Terms
+from flintridge.budgets.ledger import FLOORS, PART, Budget, Ledger
+from flintridge.lab.partial.machines import Link, Machines
+from flintridge.peers.presence import Presence
+
+LOOK = 20.0  # ms between two looks at the sum
+QUOTA = "quota a"
+DEEDS = (*["need"] * 6, "pause", "pause", "kill", "kill", "leave", "cut", "one way", "heal", "slow")
+
+
+class Lender(Presence):
+    """A process's peers with its ledger on them, driven as `net/budgets.py` does it."""
+
+    ledger: Ledger
+
+    def tick(self, now: float) -> None:
+        super().tick(now)
+        self.ledger.tick(now)
+        for name, life in self.ledger.waiting():
+            one = self.table.find(name, life)
+            if one is None or not one.fresh:
+                self.ledger.unheard((name, life))
+            else:
+                self.tell(now, one)
+
+
+class Lenders(Machines):
+    """`count` processes with budgets; `need` sets what one needs."""
+
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        terms: Terms,
+        make: type[Holding] = Holding,
+        bytes_per_s: float = 2_000.0,
+        **given: Any,
+    ) -> None:
+        self.terms = terms
+        self._make = make
+        self._topic_bytes = bytes_per_s
+        self.budgets = tuple(
+            Budget(name, 100.0 * count, "requests a second", count, terms) for name in (QUOTA, FLOORS)
+        )
+        self.needs: dict[str, float] = {}
+        self.over: list[str] = []  # what was seen over, and when
+        self.most: dict[str, float] = {}  # of each budget, the greatest sum seen
+        super().__init__(count, seed, build=self._process, **given)
+        self.at(0.0, self._look)
+
+    def _process(
+        self,
+        name: str,
+        life: int,
+        names: tuple[str, ...],
+        wire: Any,
+        bytes_per_s: float,
+        now: float,
+        rng: Random,
+    ) -> Presence:
+        made = Lender(name, life, names, wire, bytes_per_s, now, rng)
+        peers = tuple(one for one in names if one != name)
+        made.ledger = Ledger(
+            peers, self.budgets, self._topic_bytes, now, Random(rng.random()), make=self._make
+        )
+        made.register(made.ledger)
+        self.need(name, self.needs.get(name, 1.0), made.ledger)
+        return made
+
+    def need(self, name: str, parts: float, ledger: Ledger | None = None) -> None:
+        """What a node needs of its quota, in even parts; its pace goes with it."""
+        self.needs[name] = parts
+        for one in [ledger] if ledger is not None else [self.ledger(name)] if self.living(name) else []:
+            one.need(QUOTA, parts)
+            one.pace = 100.0 * parts
+
+    def ledger(self, name: str) -> Ledger:
+        machine = self.machine(name)
+        assert isinstance(machine, Lender)
+        return machine.ledger
+
+    def usable(self, name: str, budget: str = QUOTA) -> float:
+        """By its newest process, in even parts, by its own clock, whether or not it is stopped."""
+        process = self.living(name)[-1]
+        return self.ledger(name).usable(budget, process.clock(self.now))
+
+    def whole(self, budget: str = QUOTA) -> float:
+        return sum(self.usable(name, budget) for name in self.names if self.living(name))
+
+    def _look(self) -> None:
+        for one in self.budgets:
+            whole = self.whole(one.name)
+            self.most[one.name] = max(self.most.get(one.name, 0.0), whole)
+            if whole > len(self.names) + 1e-9:
+                self.over.append(f"at {self.now:.0f} ms {whole:g} of {len(self.names)} parts of {one.name}")
+        self.at(self.now + LOOK, self._look)
+
+    def leave(self, name: str) -> None:
+        for process in self.living(name):
+            now = process.clock(self.now)
+            assert isinstance(process.machine, Lender)
+            process.machine.ledger.leave(now)
+            process.machine.tick(now)
+            self._carry(process)
+        super().leave(name)
+
+
+@dataclass(slots=True)
+class DayOf:
+    """What came of a random day."""
+
+    seed: int
+    over: list[str]
+    granted: int
+    most: float
+    deeds: dict[str, int] = field(default_factory=dict)
+
+
+def random_day(
+    seed: int,
+    count: int = 20,
+    length_ms: float = 30_000.0,
+    make: type[Holding] = Holding,
+    drift: float = 0.02,
+) -> DayOf:
+    """Faults about every 300 ms, several at once; needs change with them."""
+    rng = Random(seed)
+    link = Link(
+        loss=rng.choice((0.0, 0.05, 0.3)),
+        delay=rng.choice((0.3, 5.0, 40.0)),
+        jitter=rng.choice((0.2, 20.0, 400.0)),
+        double=rng.choice((0.0, 0.1)),
+    )
+    terms = Terms(PART, rng.choice((100, 250, 500)), rng.choice((1_500.0, 4_000.0)), drift)
+    fleet = Lenders(count, seed, terms, make, link=link, drift=drift)
+    deeds: dict[str, int] = {}
+    granted = 0
+
+    def deed() -> None:
+        nonlocal granted
+        name = rng.choice(fleet.names)
+        alive = fleet.living(name)
+        what = rng.choice(DEEDS)
+        deeds[what] = deeds.get(what, 0) + 1
+        if what == "need":
+            for one in rng.sample(fleet.names, max(1, count // 4)):
+                fleet.need(one, rng.choice((0.0, 0.2, 1.0, 2.0, 5.0)))
+        elif what == "pause" and alive and not alive[-1].paused:
+            fleet.pause(name)
+            fleet.at(fleet.now + rng.choice((100.0, 1_200.0, 3_000.0, 6_000.0)), lambda: fleet.resume(name))
+        elif what in ("kill", "leave") and alive and not alive[-1].paused:
+            granted += fleet.ledger(name).counts["granted"]
+            (fleet.kill if what == "kill" else fleet.leave)(name)
+            fleet.at(fleet.now + rng.choice((0.0, 200.0, 2_000.0)), lambda: start(name))
+        elif what in ("cut", "one way"):
+            group = tuple(rng.sample(fleet.names, rng.randint(1, count // 2)))
+            fleet.cut(group, tuple(one for one in fleet.names if one not in group), what == "cut")
+        elif what == "slow":
+            for one in rng.sample(fleet.names, max(1, count // 3)):
+                way = fleet.link(name, one)
+                way.delay, way.jitter = rng.choice((500.0, 2_000.0, 6_000.0)), 500.0
+        elif what == "heal":
+            fleet.heal()
+        fleet.at(fleet.now + rng.expovariate(1 / 300.0), deed)
+
+    def start(name: str) -> None:
+        if not fleet.living(name):
+            fleet.start(name)
+
+    fleet.at(1_000.0, deed)
+    fleet.run(length_ms)
+    granted += sum(fleet.ledger(name).counts["granted"] for name in fleet.names if fleet.living(name))
+    return DayOf(seed, fleet.over, granted, max(fleet.most.values(), default=-math.inf), deeds)
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -87,6 +88,7 @@
         self._handling = False
         self._closed = False
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
+        self.seen: Callable[[int], None] | None = None  # called with the tenant of each request that is new
 
     def attach(self, delivery: DeliveryDriver, watch: WatchDriver) -> None:
         self._delivery, self._watch = delivery, watch
@@ -122,6 +124,8 @@
         deadline = now + patience - margin
         guard = self._clock.call_at(deadline + margin / 2, self._due, uid)
         self._open[uid] = Open(envelope, reply, deadline, guard, kept)
+        if self.seen is not None and not envelope.retry:
+            self.seen(envelope.tenant)
         self._tell(
             api.Request(
                 id=uid,
@@ -156,8 +160,8 @@
             self.room.give(request.kept)
         self._open.clear()
 
-    def told(self, members: api.MemberList) -> None:
-        self._tell(members)
+    def told(self, event: api.MemberList | api.Holdings) -> None:
+        self._tell(event)
 
     def begins(self, attempt: DeliveryAttempt, long: Long) -> Passage | None:
         """An attempt is served with a long value: the way to its client, or None where nobody waits for it.
--- a/flintridge/net/peers.py
+++ b/flintridge/net/peers.py
@@ -213,6 +213,12 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, to)
 
+    def tell(self, life: Life) -> None:
+        """Send that life what topics have for it, now."""
+        if not self._closed:
+            self.presence.tell(self._clock.now(), life)
+            self._flush()
+
     # Two processes of one node
 
     async def _claim_again(self) -> None:
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, fields, replace
 from typing import TYPE_CHECKING
 
-from flintridge.decide import Balancer
+from flintridge.decide import QUOTA_SLACK, Balancer
 from flintridge.drain import Drain, State
 from flintridge.net.clock import Clock
 from flintridge.net.core import Core, Module
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from flintridge.fronts.console import Routes, Said
+    from flintridge.net.budgets import Budgets
     from flintridge.net.console import Console
     from flintridge.net.peers import Peers
 
@@ -94,6 +95,17 @@
             from flintridge.net.peers import Peers  # not held by a node that hears nobody
 
             self.peers = Peers(config.name, config.peers, clock, log, self.counters, entropy)
+        self.budgets: Budgets | None = None
+        if config.budgets is not None and self.peers is not None:
+            from flintridge.net.budgets import Budgets  # not held by a node that lends nothing
+
+            even = {
+                i: QUOTA_SLACK / settings.fleet_size * tenant.quota_per_s
+                for i, tenant in enumerate(settings.tenants)
+            }
+            self.budgets = Budgets(
+                config.budgets, settings, even, self.peers, self.core, clock, log, self.counters, entropy
+            )
         self._closed = False
         listen = config.listen
         self._siblings: Siblings | None = None
@@ -117,6 +129,8 @@
             await self.peers.start()
         if self._siblings is not None:
             self._siblings.start()
+        if self.budgets is not None:
+            self.budgets.start()  # before the first request: a process that just began holds its floor alone
         self.core.told(self._known)
         listen = self.config.listen
         port = await self.side.listen(listen)
@@ -149,6 +163,8 @@
         self.core.room.resize(max(int(LONGEST_MB * 1024 * 1024), config.held_bytes // count))
         self.delivery.room = config.server_sockets // count
         self.side.room = config.client_sockets // count
+        if self.budgets is not None:
+            self.budgets.processes(count)
 
     def refuse_reload(self, error: Exception) -> None:
         """A configuration that cannot be read changes nothing; it is counted and told."""
@@ -164,6 +180,7 @@
             b"/admin/quiesce": {b"POST": self._quiesce},
             b"/admin/resume": {b"POST": self._resume},
             **({} if self.peers is None else {b"/admin/peers": {b"GET": self.peers.said}}),
+            **({} if self.budgets is None else {b"/admin/budgets": {b"GET": self.budgets.said}}),
         }
 
     @property
@@ -210,6 +227,8 @@
         other = None if self._siblings is None else self._siblings.place_of_other()
         stepped_aside = other is not None and self.side.step_aside(other)
         self.log.event("leaving", stepped_aside=stepped_aside)
+        if self.budgets is not None:
+            self.budgets.leave()
         await self.side.leave()
         if self.peers is not None:
             self.peers.leave()
@@ -221,6 +240,8 @@
         """Log what was counted, and the histograms where there are any."""
         if self.peers is not None:
             self.peers.tell_counters()
+        if self.budgets is not None:
+            self.budgets.tell_counters()
         self.log.event("counters", **self.counters.snapshot())
         if histograms := self.counters.histograms():
             self.log.event("histograms", **histograms)
@@ -235,6 +256,8 @@
             self.console.close()
         if self._siblings is not None:
             self._siblings.close()
+        if self.budgets is not None:
+            self.budgets.close()
         if self.peers is not None:
             await self.peers.close()
         await self.watch.close()
--- a/flintridge/peers/presence.py
+++ b/flintridge/peers/presence.py
@@ -60,8 +60,8 @@
     name: str
     bytes_per_s: float
 
-    def say(self, now: float, to: str, room: int) -> bytes | None:
-        """What to tell that peer now, in at most `room` bytes."""
+    def say(self, now: float, to: Life, room: int) -> bytes | None:
+        """What to tell that life now, in at most `room` bytes."""
 
     def hear(self, now: float, name: str, life: int, as_of: float, data: bytes) -> None:
         """What a peer told, at `as_of` of this node's clock or later. Never called twice for one datagram."""
@@ -373,7 +373,7 @@
             case Kind.TRIED:
                 if (probe := self._probes.get(packet.ref)) is not None:
                     probe.tried += 1
-            case Kind.NEWS | Kind.DONE:
+            case Kind.NEWS | Kind.DONE | Kind.FACTS:
                 pass
             case _:
                 self.counts.add("kinds_unknown")
@@ -398,6 +398,23 @@
 
     # What goes
 
+    def tell(self, now: float, to: Life) -> bool:
+        """Send what topics have for that life now, not with its next probe. False where nothing goes.
+
+        A life of which nothing came yet believes nothing from here: it is probed, and the answer to its
+        answer carries the facts.
+        """
+        if self._leaving or to.state is State.LEFT:
+            return False
+        if to.stamp >= 0:
+            return self._send(to.name, to.life, Kind.FACTS, 0, now)
+        if any(probe.name == to.name and probe.life == to.life for probe in self._probes.values()):
+            return False
+        ref = self._rng.getrandbits(62) + 1
+        if sent := self._send(to.name, to.life, Kind.PING, ref, now):
+            self._probes[ref] = Probe(to.name, to.life, now)
+        return sent
+
     def leave(self, now: float) -> None:
         """This life ends in order: a few are told, who pass it on. Nothing is said after it."""
         self._leaving = True
@@ -437,7 +454,7 @@
             if len(data) <= wordy or not said:
                 break
             del said[-max(1, len(said) // 4) :]
-        facts = self._facts(name, now, int(min(LONGEST, room)) - len(data))
+        facts = () if to is None else self._facts(to, now, int(min(LONGEST, room)) - len(data))
         if facts:
             data = self._wire.encode(self._packet(name, life, kind, ref, now, to, about, entries, facts))
         if len(data) > min(LONGEST, room) or not self._bucket.take(now, len(data)):
@@ -482,7 +499,9 @@
             facts,
         )
 
-    def _facts(self, to: str, now: float, room: int) -> tuple[tuple[str, bytes], ...]:
+    def _facts(self, to: Life, now: float, room: int) -> tuple[tuple[str, bytes], ...]:
+        if to.stamp < 0:
+            return ()  # it could not tell how old they are, and would drop them
         said = []
         for name, (topic, bucket) in self.topics.items():
             head = len(name) + 8
--- a/flintridge/peers/wire.py
+++ b/flintridge/peers/wire.py
@@ -43,6 +43,7 @@
     TRIED = 5  # it did not answer in time; its asker learns that its own links are well
     NEWS = 6  # asks for no answer
     DONE = 7  # the answer to an answer: it proves to the probed side what it says
+    FACTS = 8  # of topics, and asks for no answer
 
 
 class State(IntEnum):
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -27,7 +27,7 @@
 
 # Every interleaving
 
-NONE = {"asks": 0, "renews": 0, "losses": 0, "doubles": 0, "pauses": 0, "restarts": 0}
+NONE = {"asks": 0, "renews": 0, "losses": 0, "doubles": 0, "pauses": 0, "restarts": 0, "forgoes": 0}
 
 
 @pytest.mark.parametrize(
@@ -35,6 +35,7 @@
     [
         ((4.0, 6.0, 4.0), {"asks": 2}, 10_000),
         ((4.0, 6.0), {"asks": 1, "renews": 1, "losses": 1, "pauses": 1, "restarts": 1}, 10_000),
+        ((4.0, 6.0), {"asks": 1, "doubles": 1, "restarts": 1, "forgoes": 1}, 1_000),
     ],
 )
 def test_processes_never_use_more_than_the_budget_whatever_happens(speeds, left, states):
