Configure shared budgets by a table [budgets], and show them by `flintridge budgets`

Need: staff must be able to switch lending on, be told every mistake in it, and see who holds, lent and borrowed what.

Ruled out: a sum over the budget as broken at first sight (consoles are asked one after another, so a loan that moves between two looks counts twice); even parts by fleet_size alone (names that it does not count would have parts beyond the whole); one sum over nodes that differ on a budget's size.

Change: the table, its faults by file, place, value and what is allowed, also where the name is the environment's. The command prints a node's holdings and, with several consoles, sums; it looks a second time, in the other order, before it exits with 1. Tables that may be left out keep what is sound of them when some of it is faulty: before, one wrong value in [peers], [budgets] or [known] hid every contradiction that had to do with that table.

--- a/flintridge/config/build.py
+++ b/flintridge/config/build.py
@@ -1,16 +1,24 @@
 """From the node's own format to what a node is started with."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 import msgspec
 
 from flintridge import api
-from flintridge.config.contradictions import contradictions
+from flintridge.config.contradictions import all_parts, contradictions
 from flintridge.config.faults import ConfigFaults, Fault, decode
 from flintridge.config.model import NodeFile, RequestClass
 from flintridge.config.words import NOTHING
-from flintridge.settings import Address, ConfigError, NodeConfig, PeersConfig, optional_address
+from flintridge.settings import (
+    Address,
+    BudgetsConfig,
+    ConfigError,
+    NodeConfig,
+    PeersConfig,
+    optional_address,
+)
 
 SHORTEST_KEY, LONGEST_KEY = 16, 64  # bytes, as in flintridge/peers/wire.py, which a node without peers lacks
 MS, S = 1_000_000, 1_000_000_000  # nanoseconds
@@ -45,6 +53,8 @@
     if not faults and console in places.values():
         faults.append(Fault(file, "console", text, "is listen or discovery too", "an address of its own"))
     peers = None if held.peers is None else _peers(file, held, env, faults)
+    if held.budgets is not None and not held.name and (name := env.get("PROXY_NAME")):
+        faults += [replace(fault, file=file) for fault in all_parts(held, name)]
     if faults:
         raise ConfigFaults(faults)
     return NodeConfig(
@@ -62,6 +72,7 @@
         log_repeats_per_s=held.log.repeats_per_s,
         console=console,
         peers=peers,
+        budgets=None if held.budgets is None else BudgetsConfig(**msgspec.structs.asdict(held.budgets)),
     )
 
 
--- a/flintridge/config/contradictions.py
+++ b/flintridge/config/contradictions.py
@@ -27,6 +27,8 @@
         yield from _shares(file.tenants)
     if given(file.peers) and file.peers is not None:
         yield from _peers(file)
+    if given(file.budgets) and file.budgets is not None:
+        yield from _budgets(file)
     if given(file.known) and file.known and given(file.known.members):
         yield from twice(file.known.members, "known.members", "id")
         yield from addresses(file.known.members, "known.members")
@@ -133,6 +135,51 @@
             yield fault(path, text, "is the address that this node itself listens on", "a peer's address")
 
 
+OF_PEERS_BYTES = 0.25  # at most, for budgets: half is for datagrams, and presence needs the rest of that
+
+
+def _budgets(file: NodeFile) -> Iterator[Fault]:
+    budgets, peers = file.budgets, file.peers
+    assert budgets is not None
+    if peers is None:
+        allowed = "only beside a table [peers]"
+        yield fault(
+            "budgets", NOTHING, f"is allowed {allowed}: parts are lent to nodes that are heard", allowed
+        )
+    if given(budgets.tenants, budgets.floors) and not budgets.tenants and not budgets.floors:
+        yield fault(
+            "budgets", NOTHING, "switches nothing on: tenants or floors must be true", "tenants or floors"
+        )
+    if given(budgets.tenants, file.tenants) and budgets.tenants and given(*file.tenants):
+        quotas = [tenant.quota_per_s for tenant in file.tenants]
+        if given(*quotas) and not any(quotas):
+            reason = "must be false: no tenant has a quota_per_s over 0"
+            yield fault("budgets.tenants", budgets.tenants, reason, "false, or a tenant with a quota")
+    if given(budgets.tenants, budgets.strict) and budgets.strict and not budgets.tenants:
+        yield fault("budgets.strict", budgets.strict, "must be false while tenants is false", "false")
+    if not given(peers) or peers is None:
+        return
+    if given(budgets.bytes_per_s, peers.bytes_per_s):
+        most = OF_PEERS_BYTES * peers.bytes_per_s
+        if budgets.bytes_per_s > most:
+            allowed = f"at most {most:g}, a quarter of peers.bytes_per_s"
+            yield fault("budgets.bytes_per_s", budgets.bytes_per_s, f"must be {allowed}", allowed)
+    if given(file.name) and file.name:
+        yield from all_parts(file, file.name)
+
+
+def all_parts(file: NodeFile, name: str) -> Iterator[Fault]:
+    """The even parts of all names, of this node's own `name` too, are the whole budget."""
+    if file.peers is None or not given(file.fleet_size, file.peers.known):
+        return
+    names = len({name, *file.peers.known})
+    if file.fleet_size != names:
+        reason = (
+            f"must be {names}, the names in peers.known and {name} itself: budgets are cut into a part each"
+        )
+        yield fault("fleet_size", file.fleet_size, reason, str(names))
+
+
 def _loopback(text: str) -> bool:
     try:
         return ipaddress.ip_address(Address.parse(text).host).is_loopback
--- a/flintridge/config/model.py
+++ b/flintridge/config/model.py
@@ -142,6 +142,17 @@
     bytes_per_s: Annotated[float, Meta(ge=4000, le=1e7, description="bytes, of all that is sent")] = 16_000.0
 
 
+class Budgets(Part, kw_only=True, frozen=True):
+    """Which budgets of the fleet nodes lend one another. Without this table each holds its even part."""
+
+    tenants: bool = False  # the tenants' quotas
+    floors: bool = False  # what gates let through at the least
+    strict: bool = False  # what is beyond a quota is refused, whatever room there is
+    floor: Annotated[float, Meta(ge=0.01, le=1, description="of a node's part, never lent")] = 0.25
+    lease_ms: Annotated[float, Meta(ge=1500, le=60_000, description="milliseconds, of a loan")] = 4000.0
+    bytes_per_s: Annotated[float, Meta(ge=200, le=2.5e6, description="bytes, of those of peers")] = 2000.0
+
+
 class NodeFile(Part, kw_only=True, frozen=True):
     """A node. `listen`, `discovery` and `console` may be left to PROXY_LISTEN and so on."""
 
@@ -170,4 +181,5 @@
     goal: Goal = Goal()
     log: LogPart = LogPart()
     peers: Peers | None = None
+    budgets: Budgets | None = None
     known: Known | None = None
--- a/flintridge/config/walk.py
+++ b/flintridge/config/walk.py
@@ -144,6 +144,8 @@
         tagged = [one for one in fitting if isinstance(one, inspect.StructType) and one.tag_field is not None]
         if tagged:
             return self._tagged(tagged, value, path)
+        if len(fitting) == 1:  # as a table that may be left out: what is sound of it is kept
+            return self.take(fitting[0], value, path)
         trials = []
         for one in fitting:
             trial = Walk()
--- /dev/null
+++ b/tests/test_budgets_config.py
@@ -0,0 +1,248 @@
+"""`[budgets]` in configurations: every fault by its place, nothing without it; and `flintridge budgets`."""
+
+import json
+import threading
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from flintridge.cli.main import main
+from flintridge.config.build import read_own
+from flintridge.config.check import check_file
+from flintridge.config.faults import ConfigFaults
+from flintridge.config.model import NodeFile
+from flintridge.settings import BudgetsConfig, ConfigError, node_config
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = (ROOT / "examples" / "node.toml").read_text()
+PLAIN = "\n".join(line for line in EXAMPLE.splitlines() if not line.startswith("#"))
+THREE = PLAIN.replace('name = "n1"', 'name = "n1"\nfleet_size = 3')
+PEERS = """
+[peers]
+listen = "127.0.0.1:7201"
+fleet = "canteens"
+known = { n2 = "127.0.0.1:7202", n3 = "127.0.0.1:7203" }
+"""
+BUDGETS = """
+[budgets]
+tenants = true
+"""
+ALL = THREE + PEERS + BUDGETS
+
+
+def read(text: str, env=None):
+    return read_own("n.toml", text.encode(), env or {})
+
+
+def test_a_sound_table_and_its_defaults():
+    assert read(ALL).budgets == BudgetsConfig(tenants=True)
+    said = "floors = true\nstrict = true\nfloor = 0.5\nlease_ms = 1500\nbytes_per_s = 4000\n"
+    assert read(ALL + said).budgets == BudgetsConfig(True, True, True, 0.5, 1500.0, 4000.0)
+    assert read(THREE + PEERS).budgets is None
+
+
+def test_the_example_is_sound_with_its_tables_switched_on():
+    lines = EXAMPLE.replace('name = "n1"', 'name = "n1"\nfleet_size = 3').splitlines()
+    begin = lines.index(next(line for line in lines if line.startswith("# [peers]")))
+    end = lines.index(next(line for line in lines if line.startswith("# Each name has a part")))
+    on = [line.removeprefix("# ") if "key_file" not in line else "" for line in lines[begin:end]]
+    assert read("\n".join(lines[:begin] + on + lines[end:])).budgets == BudgetsConfig(True, True)
+
+
+def test_this_node_counts_once_whether_or_not_known_names_it():
+    known = "known = { "
+    assert read(ALL.replace(known, known + 'n1 = "127.0.0.1:7201", ')).budgets is not None
+
+
+@pytest.mark.parametrize(
+    ("change", "fault"),
+    [
+        ((PEERS, ""), "budgets: is allowed only beside a table [peers]"),
+        (("tenants = true", ""), "budgets: switches nothing on: tenants or floors must be true"),
+        (("quota_per_s = 100", ""), "budgets.tenants: true: must be false: no tenant has a quota"),
+        (("tenants = true", "floors = true\nstrict = true"), "budgets.strict: true: must be false while"),
+        (
+            ("tenants = true", "tenants = true\nfloor = 0"),
+            "budgets.floor: 0: must be >= 0.01 and <= 1",
+        ),
+        (("tenants = true", "tenants = true\nfloor = 1.5"), "budgets.floor: 1.5: must be"),
+        (("tenants = true", "tenants = true\nfloor = nan"), "budgets.floor: "),
+        (
+            ("tenants = true", "tenants = true\nlease_ms = 1499"),
+            "budgets.lease_ms: 1499: must be >= 1500 and <= 60000",
+        ),
+        (("tenants = true", "tenants = true\nlease_ms = 60001"), "budgets.lease_ms: 60001: must be"),
+        (("tenants = true", "tenants = true\nbytes_per_s = 199"), "budgets.bytes_per_s: 199: must be"),
+        (
+            ("tenants = true", "tenants = true\nbytes_per_s = 4001"),
+            "budgets.bytes_per_s: 4001: must be at most 4000, a quarter of peers.bytes_per_s",
+        ),
+        (
+            ("tenants = true", "tenants = true\nquota = true"),
+            "budgets.quota: true: unknown name: known here are tenants, floors",
+        ),
+        (("tenants = true", "tenants = true\nlease = 3"), "budgets.lease: 3: wrong unit: it is lease_ms"),
+        (("fleet_size = 3", ""), "fleet_size: 1: must be 3, the names in peers"),
+        (("fleet_size = 3", "fleet_size = 4"), "fleet_size: 4: must be 3, the names in peers"),
+    ],
+)
+def test_each_fault_is_told_by_its_place(change, fault):
+    assert change[0] in ALL
+    with pytest.raises(ConfigError) as caught:
+        read(ALL.replace(*change))
+    lines = str(caught.value).splitlines()
+    assert len(lines) == 1 and fault in lines[0] and lines[0].startswith("n.toml: "), lines
+
+
+def test_the_name_may_be_the_environments():
+    text = ALL.replace('name = "n1"', "", 1)
+    assert read(text, {"PROXY_NAME": "n1"}).budgets is not None
+    with pytest.raises(ConfigError, match=r"^n\.toml: fleet_size: 3: must be 2, .* and n2 itself"):
+        read(text, {"PROXY_NAME": "n2"})
+
+
+def test_the_check_command_tells_all_faults_at_once(tmp_path):
+    file = tmp_path / "n1.toml"
+    file.write_text(ALL)
+    assert "node n1" in check_file(str(file))
+    file.write_text(PLAIN + PEERS + "[budgets]\nstrict = true\nfloor = 2\nbytes_per_s = 9000\n")
+    with pytest.raises(ConfigFaults) as caught:
+        check_file(str(file))
+    assert [fault.path for fault in caught.value.faults] == [
+        "budgets.floor",
+        "budgets",
+        "budgets.strict",
+        "budgets.bytes_per_s",
+        "fleet_size",
+    ]
+
+
+def test_the_schema_has_it_and_the_platforms_json_never():
+    defined = msgspec.json.schema(NodeFile)["$defs"]
+    table = defined["Budgets"]["properties"]
+    assert (table["lease_ms"]["minimum"], table["lease_ms"]["maximum"]) == (1500, 60000)
+    assert not defined["Budgets"]["additionalProperties"]
+    platform = json.loads((ROOT / "examples" / "config.json").read_text())
+    assert node_config({**platform, "budgets": {"tenants": True}}, {}).budgets is None
+
+
+# The command
+
+
+def said(name="n1", usable=1.4, **more):
+    lent = [{"to": "n2", "life": "ff", "amount": 0.25, "ends_in_ms": 3100.4}]
+    quota = {
+        "name": "quota acme", "whole": 150.0, "unit": "requests a second", "even": 50.0, "own": 1.0,
+        "usable": usable, "need": 1.3, "used": 61.0, "lent": lent,
+        "borrowed": [{"from": "n3", "amount": 0.65, "ends_in_ms": 2900}],
+    }  # fmt: skip
+    answer = {
+        "name": name, "life": f"1{name}", "alone": True, "heard": 3, "of": 3, "lease_ms": 4000,
+        "floor": 0.25, "strict": False, "budgets": [quota], "counts": {"asked": 3, "refused_need": 0},
+    }  # fmt: skip
+    return {**answer, **more}
+
+
+@contextmanager
+def consoles(*answers):
+    """A stand-in console for each list of answers, which it gives in turn, the last for ever; the arguments
+    that name them."""
+    servers = []
+    for one in answers:
+        left = list(one)
+
+        class Console(BaseHTTPRequestHandler):
+            def do_GET(self, left=left):
+                status, fields = left.pop(0) if len(left) > 1 else left[0]
+                if self.path != "/admin/budgets":
+                    status, fields = 500, {"error": self.path}
+                body = json.dumps(fields).encode()
+                self.send_response(status)
+                self.send_header("content-length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *_):
+                pass
+
+        server = ThreadingHTTPServer(("127.0.0.1", 0), Console)
+        servers.append((server, threading.Thread(target=server.serve_forever, args=(0.01,))))
+        servers[-1][1].start()
+    try:
+        yield [f"--console=127.0.0.1:{server.server_port}" for server, _ in servers]
+    finally:
+        for server, thread in servers:
+            server.shutdown()
+            thread.join()
+            server.server_close()
+
+
+def ask(answers, *more):
+    with consoles(*answers) as named:
+        return CliRunner().invoke(main, ["budgets", *named, *more], prog_name="flintridge")
+
+
+def test_staff_see_what_a_node_holds():
+    done = ask([[(200, said(alone=False))]])
+    assert done.exit_code == 0 and done.stderr == "", done.output
+    lines = done.stdout.splitlines()
+    assert lines[0].startswith("n1 (1n1): hears 3 of 3 nodes, itself included; loans of 4000 ms, floor 0.25;")
+    assert "beside another process" in lines[0]
+    assert lines[2].split() == [
+        *["quota", "acme", "150", "50", "61", "requests", "a", "second"],
+        "1",
+        "0.25",
+        "0.65",
+        "1.4",
+        "1.3",
+    ]
+    assert lines[3] == "  quota acme: lent 0.25 to n2 (ff), ends in 3100 ms"
+    assert lines[4] == "  quota acme: borrowed 0.65 from n3, ends in 2900 ms"
+    assert lines[5:] == ["  since the start: asked 3"]
+
+
+def test_programs_get_a_json_line_of_each():
+    done = ask([[(200, said())], [(200, said("n2", 0.5))]], "--json")
+    assert done.exit_code == 0 and done.stderr == ""
+    assert [json.loads(line) for line in done.stdout.splitlines()] == [said(), said("n2", 0.5)]
+
+
+def test_the_fleets_sum_counts_each_process_once():
+    done = ask([[(200, said(usable=1.6))], [(200, said(usable=1.6))], [(200, said("n2", 1.4))]])
+    assert done.exit_code == 0 and done.stderr == "", done.output
+    together = done.stdout.splitlines()[-2:]
+    assert together[0] == "together, 2 processes of 2 nodes:"
+    assert together[1].startswith("  quota acme: usable 3 of 3 even parts")
+
+
+@pytest.mark.parametrize(("then", "code"), [(1.0, 0), (1.7, 1)])
+@pytest.mark.parametrize("more", [(), ("--json",)])
+def test_a_sum_that_is_over_counts_when_it_is_seen_twice(then, code, more):
+    second = [(200, said("n2", 1.7)), (200, said("n2", then))]
+    done = ask([[(200, said())], second], *more)
+    assert done.exit_code == code, done.output
+    first, last = done.stderr.splitlines()
+    assert first == "quota acme: seen over, 3.1 of 3 even parts; looking again"
+    assert ("over again" if code else "a loan moved between the looks") in last
+
+
+def test_nodes_that_differ_on_a_budgets_size_are_not_summed_up():
+    done = ask([[(200, said(usable=2.0))], [(200, said("n2", 2.0, of=4))]])
+    assert done.exit_code == 0
+    assert done.stdout.count("nodes differ on its size") == 2
+
+
+@pytest.mark.parametrize(
+    ("answer", "told"),
+    [
+        ((404, {"error": "no such thing"}), "that node shares no budgets: its configuration has no table"),
+        ((503, {"error": "leaving"}), ": leaving"),
+    ],
+)
+def test_consoles_without_budgets_are_told(answer, told):
+    done = ask([[answer]])
+    assert done.exit_code == 2 and told in done.stderr and done.stderr.count("\n") == 1
