--- a/flintridge/api.py
+++ b/flintridge/api.py
@@ -5,6 +5,7 @@
 caller's clock, which only moves forward. Server and request ids are opaque text.
 """
 
+import math
 from dataclasses import dataclass, field, fields
 from enum import Enum
 
@@ -275,6 +276,11 @@
 
     tenants: dict[int, float] = field(default_factory=dict)  # of their quotas; one not named: 1.0
     floors: float = 1.0  # of what the gates let through at the least
+    cold: float = 1.0  # of the work that may go to a server that has just started
+    cache_places: float = math.inf  # attempts that may be out at the caches, and at the origin; no parts
+    origin_places: float = math.inf
+    repeats_per_s: float = 0.0  # attempts that may follow one that failed (0: as many as the limits allow):
+    repeat_share: float = 0.0  # so many a second, of which `tenants[-1]` is held, and so many a first attempt
     strict: bool = False  # what is beyond a quota is refused, whatever room there is
     until: int = 1 << 63
     after: "Holdings | None" = None
--- a/flintridge/budgets/holding.py
+++ b/flintridge/budgets/holding.py
@@ -51,12 +51,22 @@
     floor: int  # of it, never lent
     lease: float = 4_000.0  # ms, by the borrower's clock
     drift: float = 0.02  # most by which a clock runs faster or slower than true time, as a share
+    keep: float = (
+        0.0  # ms for which what was begun with a loan may still go on: nothing begins in the last of it
+    )
 
     def __post_init__(self) -> None:
         if not 0 <= self.floor <= self.part:
             raise ValueError(f"floor {self.floor} must be from 0 to the part of {self.part}")
         if not self.lease > 0 or not 0 <= self.drift < 0.5:
             raise ValueError(f"lease {self.lease:g} must be over 0, drift {self.drift:g} from 0 to under 0.5")
+        if not 0 <= self.keep < self.lease:
+            raise ValueError(f"keep {self.keep:g} must be from 0 to under the lease of {self.lease:g}")
+
+    @property
+    def use(self) -> float:
+        """Milliseconds by the borrower's clock in which a loan may be used."""
+        return self.lease - self.keep
 
     @property
     def lasts(self) -> float:
@@ -177,7 +187,7 @@
     def _borrow(self, now: float, lender: str, grant: Grant) -> None:
         key = lender, grant.id
         # What was not asked for, or was given back since, is not one's own; nor what came too late.
-        if key not in self.asked or now >= (until := grant.stamp + self.terms.lease):
+        if key not in self.asked or now >= (until := grant.stamp + self.terms.use):
             return
         known = self.borrowed.get(key)
         amount = grant.amount if known is None else min(known.amount, grant.amount)
@@ -195,8 +205,10 @@
 
     def joined(self, now: float, notice: float = 0.0) -> None:
         """Another process of this node lives. `notice`, at the one that has just begun: milliseconds until
-        the other has noticed as well; nothing is used here before."""
-        self.alone, self.quiet_until = False, now + notice
+        the other has noticed as well; nothing is used here before, nor while what that began may go on."""
+        self.alone = False
+        if notice:
+            self.quiet_until = now + notice + self.terms.keep
 
     def parted(self, now: float) -> None:
         """This process is alone again. What the other lent nobody here remembers: as after a start."""
--- a/flintridge/budgets/ledger.py
+++ b/flintridge/budgets/ledger.py
@@ -16,13 +16,14 @@
 from flintridge.peers.table import Life
 
 PART = 1_000  # units of an even part
-FLOORS = "floors"  # the budget whose need is told by the paces of all
+FLOORS, COLD, REPEATS = "floors", "cold servers", "repeats"
+BY_PACE = (FLOORS, COLD, REPEATS)  # their need is a node's traffic against the mean of all that are heard
 LEAST = 50  # units: less is not worth a loan's words
 CHUNK = 250  # units of one loan, at the most: a lender gets its part back in pieces
 OPEN_ASKS = 4  # at a time, of a budget
 AGAIN = 300.0  # ms after which a call that nobody answered is said again
 TRIES = 3
-RENEW_PART = 0.5  # of a lease is over when it is renewed
+RENEW_PART = 0.5  # of the time in which a loan may be used is over when it is renewed
 OFFER_AGE = 10_000.0  # ms for which an offer counts, from when it was said
 PACE_AGE = 20_000.0
 # Hysteresis: asked for where this much of what is held is needed, and then for so much more than the need;
@@ -76,6 +77,12 @@
     lenders: dict[tuple[str, int], int] = field(default_factory=dict)  # their lives
     renewed: dict[tuple[str, int], float] = field(default_factory=dict)  # when that was last asked for
     denied: set[tuple[str, int]] = field(default_factory=set)  # loans that will not be renewed
+    in_use: Callable[[], float] = lambda: 0.0  # units that cannot be given away at this instant
+
+    @property
+    def wanted(self) -> float:
+        """Units that this process does not part with."""
+        return max(self.need, self.in_use())
 
 
 class Ledger:
@@ -127,6 +134,11 @@
         account = self.accounts[name]
         account.need = min(parts, account.budget.nodes) * PART
 
+    def uses(self, name: str, in_use: Callable[[], float]) -> None:
+        """`in_use` tells how much of that budget, in even parts, is taken up at this instant: places, which
+        come free only when what was begun there has ended."""
+        self.accounts[name].in_use = lambda: in_use() * PART
+
     def waiting(self) -> list[Peer]:
         """Lives for which there are words, which need not wait for the next datagram."""
         return list(self._out)
@@ -137,24 +149,25 @@
 
     def tick(self, now: float) -> None:
         """To be called every 50 ms or so."""
-        if FLOORS in self.accounts and not self.leaving:
+        if not self.leaving:
             self._need_by_paces(now)
         for account in self.accounts.values():
             self._end(account, now)
             self._repeat(account, now)
+            self._give_back(account, now)
             if not self.leaving:
                 self._renew(account, now)
-                self._give_back(account, now)
                 self._ask(account, now)
 
     def leave(self, now: float) -> None:
-        """This process ends in order: what is borrowed goes back, and its own part is lent beyond its floor,
-        until the loans end."""
+        """This process ends in order: what is borrowed goes back as soon as nothing takes it up, and its own
+        part is lent beyond its floor, until the loans end."""
         self.leaving = True
         for account in self.accounts.values():
             account.need = 0.0
-            for lender, id in [*account.calls, *account.holding.borrowed]:
+            for lender, id in [*account.calls]:
                 self._forgo(account, lender, id)
+            self._give_back(account, now)
 
     def joined(self, now: float, notice: float = 0.0) -> None:
         """Another process of this node lives; see `Holding.joined`."""
@@ -172,7 +185,9 @@
         """What is cut by nodes is needed by traffic: its pace against the mean of those heard."""
         paces = [pace for pace, at in self._paces.values() if now < at + PACE_AGE]
         mean = (sum(paces) + self.pace) / (len(paces) + 1)
-        self.need(FLOORS, self.pace / mean if paces and mean > 0 else 1.0)
+        for name in BY_PACE:
+            if name in self.accounts:
+                self.need(name, self.pace / mean if paces and mean > 0 else 1.0)
 
     # Borrowing
 
@@ -208,10 +223,10 @@
             self._say((lender, life), account, give)
 
     def _renew(self, account: Account, now: float) -> None:
-        holding, lease = account.holding, account.budget.terms.lease
+        holding, use = account.holding, account.budget.terms.use
         for (lender, id), loan in [*holding.borrowed.items()]:
             key = lender, id
-            due = now >= loan.until - (1 - RENEW_PART) * lease and now < loan.until
+            due = now >= loan.until - (1 - RENEW_PART) * use and now < loan.until
             if not due or key in account.denied or now < account.renewed.get(key, -math.inf) + AGAIN:
                 continue
             ask = holding.renew(now, lender, id)
@@ -221,8 +236,9 @@
 
     def _give_back(self, account: Account, now: float) -> None:
         holding = account.holding
+        keep = max(account.in_use(), 0.0 if self.leaving else KEEP * account.need + LEAST)
         for (lender, id), loan in [*holding.borrowed.items()]:
-            if holding.usable(now) - loan.amount > KEEP * account.need + LEAST:
+            if holding.usable(now) - loan.amount >= keep:
                 self.counts["given_back"] += 1
                 self._forgo(account, lender, id)
 
@@ -267,7 +283,7 @@
         offers = [
             (mark, spare) for mark, one in self._marks.items() if (spare := self._lendable(one, now)) >= LEAST
         ][:MOST_OFFERS]
-        if not flats and not offers and FLOORS not in self.accounts:
+        if not flats and not offers and not any(name in self.accounts for name in BY_PACE):
             return None
         while True:
             data = encode(Said(round(self.pace, 1), tuple(offers), tuple(flats)))
@@ -314,7 +330,7 @@
         match word:
             case Ask():
                 known = (peer, word.id) in holding.lent
-                need = account.need if known else self._kept(account)
+                need = account.wanted if known else self._kept(account)
                 grant = holding.hear(now, peer, word, math.ceil(need))
                 if grant is None:
                     self.counts["refused_need"] += 1
@@ -341,7 +357,7 @@
 
     def _kept(self, account: Account) -> float:
         """What a new loan must leave here."""
-        return 0.0 if self.leaving else ASK_FOR * account.need + LEAST
+        return max(account.in_use(), 0.0 if self.leaving else ASK_FOR * account.need + LEAST)
 
     def _lendable(self, account: Account, now: float) -> int:
         return account.holding.lendable(now, math.ceil(self._kept(account)))
--- a/flintridge/budgets/pace.py
+++ b/flintridge/budgets/pace.py
@@ -1,4 +1,4 @@
-"""How many come a second: quick to rise, slow to fall."""
+"""How many come a second, and how many are there at once: quick to rise, slow to fall."""
 
 import math
 
@@ -32,3 +32,14 @@
     @property
     def per_s(self) -> float:
         return max(self._quick, self._slow)
+
+
+class Level:
+    """The most that was there at once of late: rises at once, half of it is forgotten in SLOW."""
+
+    def __init__(self, now: float) -> None:
+        self._at, self.most = now, 0.0
+
+    def look(self, now: float, there: float) -> None:
+        self.most = max(there, self.most * math.pow(0.5, (now - self._at) / SLOW))
+        self._at = now
--- a/flintridge/budgets/words.py
+++ b/flintridge/budgets/words.py
@@ -47,7 +47,7 @@
 
 def mark_of(name: str, whole: float, nodes: int, terms: Terms) -> bytes:
     """Of a budget: its name, its size, how many even parts it is cut into, and the terms of loans."""
-    text = f"{name}\n{whole!r}\n{nodes}\n{terms.part}\n{terms.lease!r}\n{terms.drift!r}"
+    text = f"{name}\n{whole!r}\n{nodes}\n{terms.part}\n{terms.lease!r}\n{terms.drift!r}\n{terms.keep!r}"
     return hashlib.blake2b(text.encode(), digest_size=4, person=b"flintridge-budg").digest()
 
 
--- a/flintridge/config/contradictions.py
+++ b/flintridge/config/contradictions.py
@@ -135,6 +135,10 @@
             yield fault(path, text, "is the address that this node itself listens on", "a peer's address")
 
 
+SHARED = ("tenants", "floors", "cold", "cache_places", "origin_places", "repeats_per_s")
+SHORTEST_USE = (
+    1_500.0  # ms of a loan of places, beyond what was begun there: so long may a process stand still
+)
 OF_PEERS_BYTES = 0.25  # at most, for budgets: half is for datagrams, and presence needs the rest of that
 
 
@@ -146,10 +150,17 @@
         yield fault(
             "budgets", NOTHING, f"is allowed {allowed}: parts are lent to nodes that are heard", allowed
         )
-    if given(budgets.tenants, budgets.floors) and not budgets.tenants and not budgets.floors:
-        yield fault(
-            "budgets", NOTHING, "switches nothing on: tenants or floors must be true", "tenants or floors"
-        )
+    on = [getattr(budgets, name) for name in SHARED]
+    if given(*on) and not any(on):
+        allowed = f"one of {', '.join(SHARED)}"
+        yield fault("budgets", NOTHING, f"switches nothing on: it must name {allowed}", allowed)
+    for name in ("cache_places", "origin_places"):
+        places = getattr(budgets, name)
+        if given(places, file.fleet_size) and 0 < places < file.fleet_size:
+            allowed = f"0, or at least the fleet_size of {file.fleet_size}: each node has one by right"
+            yield fault(f"budgets.{name}", places, f"must be {allowed}", allowed)
+        if given(places, budgets.lease_ms, file.classes) and places and given(*file.classes):
+            yield from _lease_for_places(budgets.lease_ms, file.classes)
     if given(budgets.tenants, file.tenants) and budgets.tenants and given(*file.tenants):
         quotas = [tenant.quota_per_s for tenant in file.tenants]
         if given(*quotas) and not any(quotas):
@@ -168,6 +179,15 @@
         yield from all_parts(file, file.name)
 
 
+def _lease_for_places(lease_ms: float, classes: Sequence[Any]) -> Iterator[Fault]:
+    """A place that was borrowed is taken up for as long as a client waits."""
+    if given(*(cls.deadline_ms for cls in classes)):
+        least = max(cls.deadline_ms for cls in classes) + SHORTEST_USE
+        if lease_ms < least:
+            allowed = f"at least {least:g}: the longest deadline_ms of a class, and {SHORTEST_USE:g}"
+            yield fault("budgets.lease_ms", lease_ms, f"must be {allowed}", allowed)
+
+
 def all_parts(file: NodeFile, name: str) -> Iterator[Fault]:
     """The even parts of all names, of this node's own `name` too, are the whole budget."""
     if file.peers is None or not given(file.fleet_size, file.peers.known):
--- a/flintridge/config/model.py
+++ b/flintridge/config/model.py
@@ -147,6 +147,11 @@
 
     tenants: bool = False  # the tenants' quotas
     floors: bool = False  # what gates let through at the least
+    cold: bool = False  # the work that may go to a server that has just started
+    cache_places: Count = 0  # attempts that may be out at the caches, over all nodes (0: no such bound)
+    origin_places: Count = 0  # and at the origin
+    repeats_per_s: Amount = 0.0  # attempts that may follow a failed one, over all nodes (0: no such bound),
+    repeat_share: Share = 0.1  # and beside these so many for each first attempt
     strict: bool = False  # what is beyond a quota is refused, whatever room there is
     floor: Annotated[float, Meta(ge=0.01, le=1, description="of a node's part, never lent")] = 0.25
     lease_ms: Annotated[float, Meta(ge=1500, le=60_000, description="milliseconds, of a loan")] = 4000.0
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -12,7 +12,9 @@
 import struct
 from array import array
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from flintridge import api
 from flintridge.api import NEVER_RAN, Effect, ListKind, MemberState, Outcome
@@ -42,6 +44,7 @@
 COLD_PART = 0.5  # of what rule 4 allows is used: the estimate of a server's capacity may be that far off
 SICK = 0.5  # below this share of its keys a server's failures are its own
 MIN_CAP = 2  # a router with about one request out a server cannot tell a second one from chance
+REPEATS = -1  # the budget of repeated attempts, kept like a tenant's quota
 LOW_BITS = (1 << 32) - 1  # of a ring entry: the server's number (24 bits) and the rank among its points (8)
 
 
@@ -88,6 +91,7 @@
 
     limit: float
     floor: float = 1.0
+    most: float = math.inf  # places: what may be out in any case
     step: float = 1.0  # what a good round adds to the limit
     inflight: int = 0
     peak: int = 0  # of what was in flight in this round
@@ -107,7 +111,9 @@
     def room(self, now: int) -> bool:
         # A limit under one is one attempt at a time with a pause after each: one out at each of hundreds of
         # routers may be more than the servers behind the gate can do.
-        return self.inflight < max(1.0, self.limit) and (self.inflight > 0 or now >= self.next_at)
+        return self.inflight < min(self.most, max(1.0, self.limit)) and (
+            self.inflight > 0 or now >= self.next_at
+        )
 
     def ended(self, now: int, latency_ns: int) -> None:
         self.inflight -= 1
@@ -184,8 +190,7 @@
         self.on_ring: set[str] = set()
         self.ready: list[str] = []
         self.origins: list[str] = []
-        self.caches = Gate(4.0)
-        self.origin = Gate(8.0)
+        self.caches, self.origin = Gate(4.0), Gate(8.0)
         self.latency: dict[tuple[int, bool], float] = {}  # of served attempts, by class and if at the origin
         self.idles: deque[tuple[int, int, bool]] = deque(maxlen=16)  # at, idle time before, silence after
         self.stale_after = math.inf  # idle time
@@ -197,17 +202,16 @@
         self.shares: dict[str, float] = {}  # of each ready server, not older than SHARES_AGE
         self.share_sum = 0.0
         self.shares_until = 0
-        self.load_from = 0  # start of the window in which served work is added up
-        self.load_sum = 0.0
+        self.load_from, self.load_sum = 0, 0.0  # the window in which served work is added up
         self.warm_load = 0.0  # work that this router saw a warm server do in a rule window, at the most
         self.mean_work = 0.0  # of requests
         self.held: dict[str, Held] = {}
-        self.timers: dict[int, tuple[str, str]] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
         self.order = itertools.count()
         self.fetches: dict[str, list[Held]] = {}  # keys that are being fetched, and who waits for them
         # First arrival and quota of what was refused: a flagged retry goes on from there. Guards against
         # storms, whose late repeats would be served for nothing and eat the tenants' quotas.
-        self.refused: dict[tuple[int, int, str | None, int | None], tuple[int, bool]] = {}
+        self.refused: dict[tuple[int, int, str | None, int | None], tuple[int, bool | None]] = {}
         self.tokens: dict[int, tuple[float, int]] = {}  # of each tenant: left, and at which time
         even = QUOTA_SLACK / settings.fleet_size
         self.quotas = {i: even * tenant.quota_per_s for i, tenant in enumerate(settings.tenants)}
@@ -238,7 +242,8 @@
         if event.kind is ListKind.FAILED:
             self.watch_failures += 1
             pause = 500 * MS * 2 ** min(self.watch_failures - 1, 3)
-            self.timer(self.now + int(pause * self.random.uniform(0.5, 1)), "watch")
+            at = self.now + int(pause * self.random.uniform(0.5, 1))
+            self.timer(at, lambda: self.out.append(api.Watch()))
             return
         self.watch_failures = 0
         listed = {m.server: m for m in event.members}
@@ -255,8 +260,7 @@
             elif member.state is MemberState.GONE:
                 known.member = replace(known.member, state=MemberState.GONE, started_at=0)
             else:
-                restarted = member.started_at != known.member.started_at
-                known.barred_until = 0 if restarted else known.barred_until
+                known.barred_until *= member.started_at == known.member.started_at
                 known.member = member
         self.build_ring()
         for server in [s for s, known in self.servers.items() if known.member.state is MemberState.GONE]:
@@ -316,10 +320,9 @@
         repeat = event.retry or event.work_ns is not None
         known = self.refused.pop(self.likeness(event), None) if repeat else None
         if known is None or self.now >= known[0] + request.cls.deadline_ns:
-            known = self.now, self.beyond_quota(event)
-        elif self.holdings.strict:
-            known = known[0], self.beyond_quota(event)
-        request.arrived, request.over_quota = known
+            known = self.now, None
+        request.arrived, over = known
+        request.over_quota = self.beyond_quota(event.tenant) if over is None or self.holdings.strict else over
         if request.over_quota and (self.holdings.strict or self.random.random() >= self.spare):
             self.give_up(request)
         else:
@@ -340,15 +343,16 @@
         request.gate = gate
         heapq.heappush(gate.waiting, (-self.value(request), -next(self.order), request))
         self.admit(gate)
-        self.wait(request)
+        self.wait(request.event.id)
 
-    def wait(self, request: Held) -> None:
-        if request.gate is not None and not request.done:
+    def wait(self, request_id: str) -> None:
+        request = self.held.get(request_id)
+        if request is not None and request.gate is not None and not request.done:
             until = self.last_start(request, request.gate)
             if until <= self.now:
                 self.give_up(request)
             else:
-                self.timer(until, "wait", request.event.id)
+                self.timer(until, partial(self.wait, request_id))
 
     def last_start(self, request: Held, gate: Gate) -> int:
         cls, event = request.cls, request.event
@@ -372,16 +376,16 @@
     def likeness(event: api.Request) -> tuple[int, int, str | None, int | None]:
         return event.cls, event.tenant, event.key, event.work_ns
 
-    def beyond_quota(self, event: api.Request) -> bool:
+    def beyond_quota(self, tenant: int) -> bool:
         """Whether the tenant has spent this router's part of its quota: it then waits last and yields first.
 
         Guards the others against one that floods. A router that gets an uneven part of a tenant's traffic
         judges too strictly or too mildly, which matters only while a gate is narrow.
         """
-        if not self.quotas.get(event.tenant):
+        if not self.quotas.get(tenant):
             return False
-        tokens = self.fill(event.tenant)
-        self.tokens[event.tenant] = (tokens - 1 if tokens >= 1 else tokens, self.now)
+        tokens = self.fill(tenant)
+        self.tokens[tenant] = (tokens - 1 if tokens >= 1 else tokens, self.now)
         return tokens < 1
 
     def rate(self, tenant: int) -> float:
@@ -395,9 +399,14 @@
     def on_holdings(self, event: api.Holdings) -> None:
         # By the rates of before: a loan must not count for a time in which its lender had the use of it.
         self.tokens = {tenant: (self.fill(tenant), self.now) for tenant in self.tokens}
-        self.holdings = event
+        self.holdings, self.quotas[REPEATS] = event, event.repeats_per_s
+        self.caches.most, self.origin.most = event.cache_places, event.origin_places
         self.set_floors()
 
+    def admit_all(self) -> None:
+        self.admit(self.caches)
+        self.admit(self.origin)
+
     def admit(self, gate: Gate) -> None:
         passed: list[tuple[float, int, Held]] = []
         while gate.waiting and gate.room(self.now) and len(passed) < 4:
@@ -427,7 +436,7 @@
             heapq.heappush(gate.waiting, entry)
         if gate.waiting and gate.inflight == 0 and self.now < gate.next_at != gate.timer_at:
             gate.timer_at = gate.next_at
-            self.timer(gate.next_at, "admit")
+            self.timer(gate.next_at, self.admit_all)
 
     def pick(self, request: Held) -> str | None:
         """The first server clockwise from the key that is under the cap."""
@@ -525,8 +534,7 @@
     def note_cost(
         self, server: Server, request: Held, event: api.AttemptEnded, failed: bool, spoilt: bool
     ) -> None:
-        usual = self.latency.get((request.event.cls, False))
-        expected = request.event.work_ns or usual
+        expected = request.event.work_ns or self.latency.get((request.event.cls, False))
         if not expected:
             return
         cost = event.latency_ns / expected
@@ -561,10 +569,9 @@
 
     def warmth(self, server: Server) -> float:
         rules, started = self.settings.rules, server.member.started_at
-        age = self.now - started
-        if started == 0 or age >= rules.cold_ns:
+        if started == 0 or self.now - started >= rules.cold_ns:
             return 1.0
-        return rules.cold_share + (1 - rules.cold_share) * max(age, 0) / rules.cold_ns
+        return rules.cold_share + (1 - rules.cold_share) * max(self.now - started, 0) / rules.cold_ns
 
     def cold_room(self, server: Server, request: Held) -> bool:
         rules, share = self.settings.rules, self.warmth(server)
@@ -591,11 +598,10 @@
         settings, window = self.settings, self.settings.rules.fall_ns
         let_in = sum(t.quota_per_s for t in settings.tenants) * window / (1000 * MS) / max(1, len(self.ready))
         each = let_in or window / max(1, min(cls.aim_ns for cls in settings.classes))
-        return max(self.warm_load, each * self.mean_work / settings.fleet_size)
+        return max(self.warm_load, each * self.mean_work / settings.fleet_size * self.holdings.cold)
 
     def work(self, request: Held) -> float:
-        hint = request.event.work_ns
-        return 1.0 if hint is None else hint / MS
+        return 1.0 if request.event.work_ns is None else request.event.work_ns / MS
 
     def note_served(self, server: Server, request: Held) -> None:
         window = self.settings.rules.fall_ns
@@ -618,6 +624,8 @@
         if idle is not None and idle > min(self.stale_after, self.settings.limits.conn_idle_ns):
             self.out.append(api.CloseIdle(server))
             idle = None
+        if not request.attempts and self.holdings.repeat_share:
+            self.tokens[REPEATS] = self.fill(REPEATS) + self.holdings.repeat_share, self.now
         request.attempts.append(Attempt(server, self.now, idle))
         known.inflight += 1
         gate = self.gate_of(known)
@@ -720,11 +728,9 @@
             late = waited > LATE_PART * request.cls.aim_ns
             # What a server known as sick fails to do is its own trouble: a lost zone must not starve others.
             # Nor do connections tell of it, nor the quick refusals of a sick server.
-            own_trouble = unreached or dropped or self.health(known) < SICK
-            if good or not own_trouble:
-                narrowed = gate.note(self.now, late or failed, attempt.sent_at)
-                if narrowed is not None:
-                    self.spare = self.spare / 2 if narrowed else min(1.0, self.spare + 0.05)
+            counts = good or not (unreached or dropped or self.health(known) < SICK)
+            if counts and (narrowed := gate.note(self.now, late or failed, attempt.sent_at)) is not None:
+                self.spare = self.spare / 2 if narrowed else min(1.0, self.spare + 0.05)
         if gate is self.caches:
             self.note_idle(known, attempt, event.outcome)
             self.note_reached(known, event)
@@ -749,7 +755,8 @@
         self.admit(gate)
 
     def next_step(self, request: Held, attempt: Attempt, outcome: Outcome, spoilt: bool = False) -> None:
-        if self.now >= request.event.deadline:
+        repeats = not attempt.moot and outcome is not Outcome.MISS  # that is the way to the origin
+        if self.now >= request.event.deadline or (repeats and self.beyond_quota(REPEATS)):
             self.give_up(request)
         elif self.settings.mode is api.CacheMode.ASIDE and (outcome is Outcome.MISS or self.is_last(request)):
             self.enter(request, self.origin)  # the last attempt is kept for it: another cache could only miss
@@ -828,17 +835,11 @@
 
     # Timers
 
-    def timer(self, at: int, what: str, request_id: str = "") -> None:
+    def timer(self, at: int, call: Callable[[], None]) -> None:
         token = next(self.order)
-        self.timers[token] = (what, request_id)
+        self.timers[token] = call
         self.out.append(api.SetTimer(at, token))
 
     def on_timer(self, event: api.TimerFired) -> None:
-        what, request_id = self.timers.pop(event.token, ("", ""))
-        if what == "watch":
-            self.out.append(api.Watch())
-        elif what == "admit":
-            self.admit(self.caches)
-            self.admit(self.origin)
-        elif what == "wait" and (request := self.held.get(request_id)) is not None:
-            self.wait(request)
+        if call := self.timers.pop(event.token, None):
+            call()
--- a/flintridge/lab/partial/peernet.py
+++ b/flintridge/lab/partial/peernet.py
@@ -32,6 +32,9 @@
         # Mistakes of whoever configures nodes, made before a start: another address for a peer, another name.
         self.addresses: dict[tuple[str, str], tuple[str, int]] = {}
         self.renamed: dict[str, str] = {}
+        # Further parts of each node's configuration, and of one node's, by name.
+        self.tables: dict[str, Any] = {}
+        self.own_tables: dict[str, dict[str, Any]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
@@ -71,7 +74,7 @@
             "bytes_per_s": self._part.bytes_per_s,
             **({"key_file": self._key_file} if self._part.sealed else {}),
         }
-        return made
+        return made | self.tables | self.own_tables.get(node, {})
 
     def _peer(self, node: str, other: str) -> tuple[str, int]:
         return self.addresses.get((node, other)) or self._fabric.address(f"peer-{other}", node)
--- a/flintridge/lab/partial/rig.py
+++ b/flintridge/lab/partial/rig.py
@@ -20,11 +20,14 @@
 
 from flintridge.lab.backend.loopback import process_nodes
 from flintridge.lab.backend.loopback_fabric import LoopbackFabric, raise_descriptor_limit
+from flintridge.lab.fabric import NodeRunner
 from flintridge.lab.judge.facts import Day
 from flintridge.lab.judge.findings import Findings
 from flintridge.lab.judge.rules import peers as peer_rules
+from flintridge.lab.load.driver import Load as Clients
 from flintridge.lab.records import Line, Log, View, Way
 from flintridge.lab.result import Breach
+from flintridge.lab.run import READY_MS, Announced
 from flintridge.lab.scenario.model import Load, Nodes, Peers, RequestClass, Scenario
 from flintridge.lab.seeds import Seeds
 from flintridge.lab.truth import Truth
@@ -38,8 +41,17 @@
 class Rig:
     """`count` nodes n0, n1 ... as processes; leave the block and nothing of them is left."""
 
-    def __init__(self, count: int, seed: int = 1, scenario: Scenario | None = None) -> None:
-        """`scenario`: the day's world, where a test needs another one than the usual of the lab."""
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        scenario: Scenario | None = None,
+        tables: dict[str, dict[str, Any]] | None = None,
+        loaded: bool = False,
+    ) -> None:
+        """`scenario`: the day's world, where a test needs another one than the usual of the lab. `tables`:
+        further tables of each node's configuration. `loaded`: clients send what the scenario says, for as
+        long as the block lasts."""
         self.scenario = scenario or Scenario(
             name="rig", nodes=Nodes(count=count), peers=Peers(), load=Load(rate_per_s=1.0), length_s=3600.0,
             classes=(RequestClass(name="read"),),
@@ -47,20 +59,37 @@
         self.names = tuple(f"n{i}" for i in range(count))
         self.log = Log()
         self._seed = seed
+        self._tables = tables or {}
+        self._loaded = loaded
+        self._load: Clients | None = None
+        self._sending: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Rig":
         raise_descriptor_limit()
         seeds = Seeds(self._seed)
         self.links = LinkTable(self.scenario.links, seeds)
         self.fabric = LoopbackFabric(self.links)
-        self.world = World(self.scenario, seeds, self.log, self.fabric, Truth())
+        truth = Truth()
+        self.world = World(self.scenario, seeds, self.log, self.fabric, truth)
         self.nodes = process_nodes(self.fabric, self.log, self.scenario, self.world)
         assert self.nodes.peers is not None
         self.net = self.nodes.peers
+        self.net.tables |= self._tables
+        self.runner: NodeRunner = self.nodes
         try:
             await self.world.open()
+            if self._loaded:
+                world = self.world
+                self._load = Clients(
+                    self.scenario, seeds, self.log, truth, self.fabric, world.nodes, world.node_zones
+                )
+                await self._load.start()
+                self.runner = Announced(self.nodes, self._load)
             for name in self.names:
-                await self.nodes.start(name)
+                await self.runner.start(name)
+            if self._load is not None:
+                await self._load.ready(READY_MS)
+                self._sending = asyncio.ensure_future(self._load.run())
         except BaseException:
             await self._close()
             raise
@@ -73,6 +102,11 @@
 
     async def _close(self) -> None:
         self.fabric.stop()
+        if self._sending is not None:
+            self._sending.cancel()
+            await asyncio.gather(self._sending, return_exceptions=True)
+        if self._load is not None:
+            await self._load.close()
         await self.nodes.close()
         await self.world.close()
         self.fabric.close()
@@ -103,7 +137,7 @@
                     self.way(a, b)
 
     def kill(self, node: str) -> None:
-        self.nodes.kill(node)
+        self.runner.kill(node)
         self.world.node_ended(node)
 
     # What is seen
--- a/flintridge/net/budgets.py
+++ b/flintridge/net/budgets.py
@@ -3,24 +3,32 @@
 It judges nothing. A request is only counted here, and takes from what the module was last told that is held.
 """
 
+import contextlib
+import math
 from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
 from random import Random
 from typing import Any
 
 from flintridge import api
 from flintridge.budgets.holding import Terms
-from flintridge.budgets.ledger import FLOORS, PART, Account, Budget, Ledger
-from flintridge.budgets.pace import Pace
-from flintridge.net.clock import NS, Clock, Timer
+from flintridge.budgets.ledger import COLD, FLOORS, PART, REPEATS, Account, Budget, Ledger
+from flintridge.budgets.pace import Level, Pace
+from flintridge.net.clock import NS, Clock, Timer, to_ms
 from flintridge.net.core import Core
 from flintridge.net.counters import Counters
+from flintridge.net.envelope import DeliveryAttempt
 from flintridge.net.log import EventLog
 from flintridge.net.peers import Peers
 from flintridge.net.siblings import LOOK
+from flintridge.net.transport_map import TransportMap, Unlisted
 from flintridge.settings import BudgetsConfig
 
 TICK = 50.0
 NOTICE = 4 * LOOK  # in which an older process of this node has noticed that another lives
+PLACES = {False: "cache places", True: "origin places"}  # by whether at the origin
+AT_REPEATS = -1  # where the decisions look for what is held of repeats
 
 
 class Budgets:
@@ -32,6 +40,7 @@
         settings: api.Settings,
         even: dict[int, float],
         peers: Peers,
+        transports: TransportMap,
         core: Core,
         clock: Clock,
         log: EventLog,
@@ -41,9 +50,9 @@
         """`even`: what a node holds of each tenant's quota with nobody heard, in requests a second."""
         self.config = config
         self._clock, self._log, self._counters = clock, log, counters
-        self._peers, self._core = peers, core
+        self._peers, self._transports, self._core = peers, transports, core
         terms = Terms(PART, max(1, round(config.floor * PART)), config.lease_ms)
-        nodes = settings.fleet_size
+        nodes = self._nodes = settings.fleet_size
         self._tenants = {
             i: f"quota {tenant.name}"
             for i, tenant in enumerate(settings.tenants)
@@ -53,16 +62,34 @@
             Budget(name, even[i] * nodes, "requests a second", nodes, terms)
             for i, name in self._tenants.items()
         ]
-        if config.floors:
-            budgets.append(Budget(FLOORS, float(nodes), "even parts", nodes, terms))
+        for name, on in ((FLOORS, config.floors), (COLD, config.cold)):
+            if on:
+                budgets.append(Budget(name, float(nodes), "even parts", nodes, terms))
+        if config.repeats_per_s:
+            budgets.append(Budget(REPEATS, config.repeats_per_s, "repeats a second", nodes, terms))
         now = clock.now()
+        # What is out when a loan ends stays out for as long as its client waits.
+        keep = max(to_ms(cls.deadline_ns) for cls in settings.classes)
+        places = {False: config.cache_places, True: config.origin_places}
+        self._places = {
+            origin: Budget(PLACES[origin], float(count), "places", nodes, replace(terms, keep=keep))
+            for origin, count in places.items()
+            if count
+        }
+        budgets += self._places.values()
+        self._out: dict[bool, set[tuple[str, int]]] = {origin: set() for origin in self._places}
+        self._levels = {origin: Level(now) for origin in self._places}
         self._even = even
         self._paces = {i: Pace(now) for i in self._tenants}
         self._pace = Pace(now)
         names = tuple(name for name, _ in peers.config.known if name != peers.name)
         self.ledger = Ledger(names, tuple(budgets), config.bytes_per_s, now, Random(entropy(16)), log.event)
+        for origin, budget in self._places.items():
+            self.ledger.uses(budget.name, partial(self._taken, origin))
         peers.presence.register(self.ledger)
         core.seen = self._seen
+        if self._places:
+            core.moved = self._moved
         self._held: api.Holdings | None = None
         self._processes = 1
         self._started = False
@@ -100,6 +127,22 @@
         if (pace := self._paces.get(tenant)) is not None:
             pace.add()
 
+    def _moved(self, attempt: DeliveryAttempt, by: int) -> None:
+        key = attempt.id, attempt.number
+        if by < 0:
+            for out in self._out.values():
+                out.discard(key)
+            return
+        with contextlib.suppress(
+            Unlisted, KeyError
+        ):  # it cannot be sent, or there is no bound on such places
+            self._out[self._transports[attempt.server].origin].add(key)
+
+    def _taken(self, origin: bool) -> float:
+        """Places taken up at this instant, in even parts."""
+        budget = self._places[origin]
+        return len(self._out[origin]) * budget.nodes / budget.whole
+
     def _tick(self) -> None:
         now = self._clock.now()
         self._timer = self._clock.call_at(now + TICK, self._tick)
@@ -110,6 +153,10 @@
                 pace.look(now)
                 if not self.ledger.leaving:
                     self.ledger.need(self._tenants[i], pace.per_s / self._even[i])
+            for origin, level in self._levels.items():
+                level.look(now, self._taken(origin))
+                if not self.ledger.leaving:
+                    self.ledger.need(PLACES[origin], level.most)
             self.ledger.tick(now)
             self._carry()
             self._tell()
@@ -133,15 +180,30 @@
         held = self._holdings(lambda name: ledger.usable(name, now))
         if until != float("inf"):
             after = self._holdings(lambda name: ledger.after(name, now))
-            held = api.Holdings(held.tenants, held.floors, held.strict, int(until * NS), after)
+            held = replace(held, until=int(until * NS), after=after)
         if held != self._held:
             self._held = held
             self._core.told(held)
 
     def _holdings(self, amount: Callable[[str], float]) -> api.Holdings:
-        floors = amount(FLOORS) if FLOORS in self.ledger.accounts else 1.0
+        parts = {name: amount(name) for name in self.ledger.accounts}
+        tenants = {i: parts[name] for i, name in self._tenants.items()}
+        caches, origin = (
+            math.floor(parts[one.name] * one.whole / one.nodes + 1e-9) if one is not None else math.inf
+            for one in (self._places.get(False), self._places.get(True))
+        )
+        even, share = self.config.repeats_per_s / self._nodes, self.config.repeat_share
+        if even:
+            tenants[AT_REPEATS] = parts[REPEATS]
         return api.Holdings(
-            {i: amount(name) for i, name in self._tenants.items()}, floors, self.config.strict
+            tenants,
+            parts.get(FLOORS, 1.0),
+            parts.get(COLD, 1.0),
+            caches,
+            origin,
+            even,
+            share if even else 0.0,
+            self.config.strict,
         )
 
     # For staff
@@ -161,14 +223,21 @@
             "floor": self.config.floor,
             "strict": self.config.strict,
             "budgets": [
-                self._said(account, indices.get(name), now) for name, account in self.ledger.accounts.items()
+                self._said(account, self._used(name, indices.get(name)), now)
+                for name, account in self.ledger.accounts.items()
             ],
             "counts": {name: self.ledger.counts[name] for name in sorted(self.ledger.counts)},
         }
 
-    def _said(self, account: Account, tenant: int | None, now: float) -> dict[str, Any]:
+    def _used(self, name: str, tenant: int | None) -> float:
+        """Of late, in the budget's unit; of those whose need is told by traffic, requests a second."""
+        for origin, budget in self._places.items():
+            if budget.name == name:
+                return float(len(self._out[origin]))
+        return self._pace.per_s if tenant is None else self._paces[tenant].per_s
+
+    def _said(self, account: Account, used: float, now: float) -> dict[str, Any]:
         budget, holding = account.budget, account.holding
-        pace = self._pace if tenant is None else self._paces[tenant]
         return {
             "name": budget.name,
             "whole": round(budget.whole, 3),
@@ -177,7 +246,7 @@
             "own": holding.own(now) / PART,
             "usable": holding.usable(now) / PART,
             "need": round(account.need / PART, 3),
-            "used": round(pace.per_s, 1),
+            "used": round(used, 1),
             "lent": [
                 {
                     "to": name,
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -88,6 +88,7 @@
         self._handling = False
         self._closed = False
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
+        self.moved: Callable[[DeliveryAttempt, int], None] | None = None  # told +1 and -1: an attempt is out
         self.seen: Callable[[int], None] | None = None  # called with the tenant of each request that is new
 
     def attach(self, delivery: DeliveryDriver, watch: WatchDriver) -> None:
@@ -183,6 +184,8 @@
         if attempt.ended:
             return
         attempt.ended = True
+        if self.moved is not None:
+            self.moved(attempt, -1)
         self._counters.add(f"attempts_{answer.outcome.value}")
         if answer.spoilt:
             self._counters.add("attempts_spoilt")
@@ -286,6 +289,8 @@
         attempt = DeliveryAttempt(uid, len(request.attempts), server, request.envelope, now, until)
         request.attempts.append(attempt)
         request.out += 1
+        if self.moved is not None:
+            self.moved(attempt, +1)
         over = attempt.number >= self._settings.limits.max_attempts
         if request.answered or over or now >= request.deadline:
             self.attempt_ended(attempt, Answer(api.Outcome.MOOT))
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -104,7 +104,16 @@
                 for i, tenant in enumerate(settings.tenants)
             }
             self.budgets = Budgets(
-                config.budgets, settings, even, self.peers, self.core, clock, log, self.counters, entropy
+                config.budgets,
+                settings,
+                even,
+                self.peers,
+                self.transports,
+                self.core,
+                clock,
+                log,
+                self.counters,
+                entropy,
             )
         self._closed = False
         listen = config.listen
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -172,6 +172,11 @@
 
     tenants: bool = False  # the tenants' quotas
     floors: bool = False  # what gates let through at the least
+    cold: bool = False  # the work that may go to a server that has just started
+    cache_places: int = 0  # attempts that may be out at the caches, over all nodes (0: no such bound)
+    origin_places: int = 0  # and at the origin
+    repeats_per_s: float = 0.0  # attempts that may follow a failed one, over all nodes (0: no such bound),
+    repeat_share: float = 0.1  # and beside these so many for each first attempt
     strict: bool = False  # what is beyond a quota is refused, whatever room there is
     floor: float = 0.25
     lease_ms: float = 4_000.0  # of a loan, by the borrower's clock
--- a/tests/test_budgets_config.py
+++ b/tests/test_budgets_config.py
@@ -41,7 +41,9 @@
 def test_a_sound_table_and_its_defaults():
     assert read(ALL).budgets == BudgetsConfig(tenants=True)
     said = "floors = true\nstrict = true\nfloor = 0.5\nlease_ms = 1500\nbytes_per_s = 4000\n"
-    assert read(ALL + said).budgets == BudgetsConfig(True, True, True, 0.5, 1500.0, 4000.0)
+    assert read(ALL + said).budgets == BudgetsConfig(
+        tenants=True, floors=True, strict=True, floor=0.5, lease_ms=1500.0, bytes_per_s=4000.0
+    )
     assert read(THREE + PEERS).budgets is None
 
 
@@ -50,7 +52,9 @@
     begin = lines.index(next(line for line in lines if line.startswith("# [peers]")))
     end = lines.index(next(line for line in lines if line.startswith("# Each name has a part")))
     on = [line.removeprefix("# ") if "key_file" not in line else "" for line in lines[begin:end]]
-    assert read("\n".join(lines[:begin] + on + lines[end:])).budgets == BudgetsConfig(True, True)
+    assert read("\n".join(lines[:begin] + on + lines[end:])).budgets == BudgetsConfig(
+        tenants=True, floors=True
+    )
 
 
 def test_this_node_counts_once_whether_or_not_known_names_it():
@@ -62,7 +66,7 @@
     ("change", "fault"),
     [
         ((PEERS, ""), "budgets: is allowed only beside a table [peers]"),
-        (("tenants = true", ""), "budgets: switches nothing on: tenants or floors must be true"),
+        (("tenants = true", ""), "budgets: switches nothing on: it must name one of tenants, floors, cold"),
         (("quota_per_s = 100", ""), "budgets.tenants: true: must be false: no tenant has a quota"),
         (("tenants = true", "floors = true\nstrict = true"), "budgets.strict: true: must be false while"),
         (
@@ -86,6 +90,14 @@
             "budgets.quota: true: unknown name: known here are tenants, floors",
         ),
         (("tenants = true", "tenants = true\nlease = 3"), "budgets.lease: 3: wrong unit: it is lease_ms"),
+        (
+            ("tenants = true", "origin_places = 2\nlease_ms = 9000"),
+            "budgets.origin_places: 2: must be 0, or at least the fleet_size of 3",
+        ),
+        (
+            ("tenants = true", "cache_places = 9"),
+            "budgets.lease_ms: 4000: must be at least 5500: the longest deadline_ms of a class, and 1500",
+        ),
         (("fleet_size = 3", ""), "fleet_size: 1: must be 3, the names in peers"),
         (("fleet_size = 3", "fleet_size = 4"), "fleet_size: 4: must be 3, the names in peers"),
     ],
