Let loans change hands where another goes without, and aim faults at words of budgets

Cause: where all that can be spared is lent, whoever came first renewed it for ever: of five crowded nodes one stayed at its even part while others held 1.75. A call tells what its process holds; a lender with a poorer node asking in vain lets one loan at a time end. A lender that has lent all says so, so that it is asked once a second.

--- a/flintridge/budgets/holding.py
+++ b/flintridge/budgets/holding.py
@@ -21,11 +21,13 @@
 
 
 class Ask(NamedTuple):
-    """May I have so much? Said again with a new stamp it renews the loan `id`, whose amount stays."""
+    """May I have so much? Said again with a new stamp it renews loan `id`, whose amount stays. `held`: what
+    its process may use just now, for a lender to choose by who shall have it."""
 
     id: int
     amount: int
     stamp: float  # when, by the borrower's clock; the grant says it back
+    held: int = 0
 
 
 class Grant(NamedTuple):
--- a/flintridge/budgets/ledger.py
+++ b/flintridge/budgets/ledger.py
@@ -23,6 +23,7 @@
 OPEN_ASKS = 4  # at a time, of a budget
 AGAIN = 300.0  # ms after which a call that nobody answered is said again
 TRIES = 3
+QUEUE = 1_000.0  # ms between two calls to lenders that have lent all they can: so they learn who goes without
 RENEW_PART = 0.5  # of the time in which a loan may be used is over when it is renewed
 OFFER_AGE = 10_000.0  # ms for which an offer counts, from when it was said
 PACE_AGE = 20_000.0
@@ -77,6 +78,11 @@
     lenders: dict[tuple[str, int], int] = field(default_factory=dict)  # their lives
     renewed: dict[tuple[str, int], float] = field(default_factory=dict)  # when that was last asked for
     denied: set[tuple[str, int]] = field(default_factory=set)  # loans that will not be renewed
+    refused: dict[Peer, tuple[float, int]] = field(
+        default_factory=dict
+    )  # who lately asked in vain: when, held
+    passing_until: float = -math.inf  # by then a loan that goes to another is back
+    queue_at: float = -math.inf  # when a lender that has lent all may be asked again
     in_use: Callable[[], float] = lambda: 0.0  # units that cannot be given away at this instant
 
     @property
@@ -213,7 +219,8 @@
                 self._forgo(account, lender, id)
                 continue
             call.tries, call.said_at = call.tries + 1, now
-            self._say((lender, call.life), account, Ask(id, call.amount, now))
+            ask = Ask(id, call.amount, now, account.holding.usable(now))
+            self._say((lender, call.life), account, ask)
 
     def _forgo(self, account: Account, lender: str, id: int) -> None:
         call = account.calls.pop((lender, id), None)
@@ -232,7 +239,7 @@
             ask = holding.renew(now, lender, id)
             if ask is not None:
                 account.renewed[key] = now
-                self._say((lender, account.lenders[key]), account, ask)
+                self._say((lender, account.lenders[key]), account, ask._replace(held=holding.usable(now)))
 
     def _give_back(self, account: Account, now: float) -> None:
         holding = account.holding
@@ -252,12 +259,19 @@
             if short < LEAST or len(account.calls) >= OPEN_ASKS:
                 return
             amount = min(CHUNK, math.ceil(short), offer.amount)
-            ask = holding.ask(now, lender, amount)
-            account.calls[lender, ask.id] = Call(offer.life, amount, now)
-            self._say((lender, offer.life), account, ask)
-            self.counts["asked"] += 1
+            self._call(account, lender, amount, held, now)
             offer.amount -= amount
             short -= amount
+        if short >= LEAST and now >= account.queue_at and account.offers:
+            account.queue_at = now + QUEUE
+            lender = self._rng.choice(list(account.offers))
+            self._call(account, lender, min(CHUNK, math.ceil(short)), held, now)
+
+    def _call(self, account: Account, lender: str, amount: int, held: int, now: float) -> None:
+        ask, life = account.holding.ask(now, lender, amount), account.offers[lender].life
+        account.calls[lender, ask.id] = Call(life, amount, now)
+        self._say((lender, life), account, ask._replace(held=held))
+        self.counts["asked"] += 1
 
     def _by_chance(self, account: Account, now: float) -> Iterator[tuple[str, Offer]]:
         """Offers that still count, larger ones likelier first. Guards the largest against all who need."""
@@ -281,7 +295,10 @@
         words = self._out.get(peer, {})
         flats = [flat(mark, word) for (mark, _, _), word in words.items()][:MOST_WORDS]
         offers = [
-            (mark, spare) for mark, one in self._marks.items() if (spare := self._lendable(one, now)) >= LEAST
+            (mark, spare)
+            for mark, one in self._marks.items()
+            # Nothing to spare, but lent: who goes without is to ask all the same.
+            if (spare := self._lendable(one, now)) >= LEAST or one.holding.lent
         ][:MOST_OFFERS]
         if not flats and not offers and not any(name in self.accounts for name in BY_PACE):
             return None
@@ -312,12 +329,12 @@
                 self._differs(name)
             else:
                 account_of.offers[name] = Offer(life, amount, as_of)
-        for mark, kind, id, amount, stamp in said.words:
+        for mark, *word in said.words:
             if (account_of := self._marks.get(mark)) is None:
                 self.counts["refused_terms"] += 1
                 self._differs(name)
             else:
-                self._word(account_of, (name, life), word_of(kind, id, amount, stamp), now)
+                self._word(account_of, (name, life), word_of(*word), now)
 
     def _differs(self, name: str) -> None:
         """Guards the sum: a part of another size, or of another number of parts, is not the same amount."""
@@ -329,14 +346,19 @@
         holding, key = account.holding, (peer[0], getattr(word, "id", 0))
         match word:
             case Ask():
-                known = (peer, word.id) in holding.lent
-                need = account.wanted if known else self._kept(account)
-                grant = holding.hear(now, peer, word, math.ceil(need))
+                loan = holding.lent.get((peer, word.id))
+                need = account.wanted if loan is not None else self._kept(account)
+                turn = self._is_its_turn(account, peer, word, 0 if loan is None else loan.amount, now)
+                enough = loan is not None or self._lendable(account, now) >= min(LEAST, word.amount)
+                grant = holding.hear(now, peer, word, math.ceil(need)) if turn and enough else None
                 if grant is None:
-                    self.counts["refused_need"] += 1
+                    self.counts["refused_need" if turn else "refused_turn"] += 1
+                    if loan is None:
+                        account.refused[peer] = now, word.held
                     grant = Grant(word.id, 0, word.stamp)  # no loan: a word that nothing will come
-                elif not known:
+                elif loan is None:
                     self.counts["lent"] += 1
+                    account.refused.pop(peer, None)
                 self._say(peer, account, grant)
             case Grant(id, 0, _):
                 if account.calls.pop(key, None) is not None:
@@ -355,6 +377,22 @@
             case Give():
                 holding.hear(now, peer, word)
 
+    @staticmethod
+    def _is_its_turn(account: Account, peer: Peer, ask: Ask, amount: int, now: float) -> bool:
+        """Not while another asked here in vain that holds less, by so much that one loan may change hands.
+        Guards who comes late against those that hold all there is to lend, and renew it. `amount`: of the loan
+        that is to be renewed. One loan at a time: what changes hands is of no use to anybody meanwhile."""
+        lasts = account.budget.terms.lasts
+        account.refused = {one: said for one, said in account.refused.items() if now < said[0] + lasts}
+        if amount and now < account.passing_until:
+            return True
+        others = [held for one, (_, held) in account.refused.items() if one != peer]
+        if not any(held + amount <= ask.held - amount and held < ask.held for held in others):
+            return True
+        if amount:
+            account.passing_until = now + lasts
+        return False
+
     def _kept(self, account: Account) -> float:
         """What a new loan must leave here."""
         return max(account.in_use(), 0.0 if self.leaving else ASK_FOR * account.need + LEAST)
--- a/flintridge/budgets/words.py
+++ b/flintridge/budgets/words.py
@@ -34,6 +34,7 @@
                 Annotated[int, Meta(ge=0, lt=1 << 62)],  # the loan's number
                 Units,
                 Annotated[float, Meta(ge=0, le=1e15)],  # the borrower's stamp
+                Units,  # what the borrower holds, with a call
             ],
             ...,
         ],
@@ -51,18 +52,24 @@
     return hashlib.blake2b(text.encode(), digest_size=4, person=b"flintridge-budg").digest()
 
 
-def flat(mark: bytes, word: Word) -> tuple[bytes, int, int, int, float]:
+def flat(mark: bytes, word: Word) -> tuple[bytes, int, int, int, float, int]:
     match word:
-        case Ask(id, amount, stamp):
-            return mark, ASK, id, amount, stamp
+        case Ask(id, amount, stamp, held):
+            return mark, ASK, id, amount, stamp, held
         case Grant(id, amount, stamp):
-            return mark, GRANT, id, amount, stamp
+            return mark, GRANT, id, amount, stamp, 0
         case Give(id):
-            return mark, GIVE, id, 0, 0.0
+            return mark, GIVE, id, 0, 0.0, 0
 
 
-def word_of(kind: int, id: int, amount: int, stamp: float) -> Word:
-    return Give(id) if kind == GIVE else (Ask, Grant)[kind](id, amount, stamp)
+def word_of(kind: int, id: int, amount: int, stamp: float, held: int) -> Word:
+    match kind:
+        case 0:
+            return Ask(id, amount, stamp, held)
+        case 1:
+            return Grant(id, amount, stamp)
+        case _:
+            return Give(id)
 
 
 def encode(said: Said) -> bytes:
--- a/flintridge/lab/partial/views.py
+++ b/flintridge/lab/partial/views.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from flintridge.budgets.ledger import Ledger
+from flintridge.budgets.words import decode, word_of
 from flintridge.lab.records import Datagram, View
 from flintridge.peers.wire import Dropped, Wire
 
@@ -31,7 +33,11 @@
 def datagram_of(wire: Wire, t: float, source: str, target: str, data: bytes, fate: str) -> Datagram:
     """The record of a datagram on its way, which is read as far as the fleet's key goes."""
     try:
-        kind = wire.decode(data).kind
+        packet = wire.decode(data)
     except Dropped:
-        kind = -1
-    return Datagram(t=t, source=source, target=target, size=len(data), fate=fate, kind=kind)
+        return Datagram(t=t, source=source, target=target, size=len(data), fate=fate)
+    said = [decode(fact) for name, fact in packet.facts if name == Ledger.name]
+    words = tuple(type(word_of(*word[1:])).__name__.lower() for one in said if one for word in one.words)
+    return Datagram(
+        t=t, source=source, target=target, size=len(data), fate=fate, kind=packet.kind, words=words
+    )
