--- a/flintridge/lab/faults/check.py
+++ b/flintridge/lab/faults/check.py
@@ -55,6 +55,8 @@
             yield f"kinds[{i}].name: {ORIGIN_KIND!r} is the origin's own kind; any other name is allowed"
     for i, zone in enumerate(scenario.nodes.zones):
         yield from _unknown(f"nodes.zones[{i}]", zone, scenario.zones, "zone")
+    for i, tenant in enumerate(scenario.tenants):
+        yield from _unknown(f"tenants[{i}].zone", tenant.zone, scenario.zones, "zone")
     yield from _unknown("origin.zone", scenario.origin.zone, scenario.zones, "zone")
     yield from _unknown("discovery.zone", scenario.discovery.zone, scenario.zones, "zone")
 
--- a/flintridge/lab/load/requests.py
+++ b/flintridge/lab/load/requests.py
@@ -90,18 +90,19 @@
         mark = rng.random
         index = self._class.at(mark())
         cls, tenant, zone = self._classes[index], mark(), mark()
+        sender = self._tenants[self._tenant.at(tenant)] if self._tenants else None
         name = self._keys.sample(mark(), slot.t)
         if mark() < self._keys.part and not cls.write:
             name = self._keys.hot
         return Drawn(
             due_ms=slot.t,
             cls=cls.name,
-            tenant=self._tenants[self._tenant.at(tenant)].name if self._tenants else "",
+            tenant="" if sender is None else sender.name,
             key=name,
             write=cls.write,
             work_ms=self._work[index] * self._spread(index, rng),
             size=self._size_of(name),
-            zone=self._zones[self._zone.at(zone)],
+            zone=(sender and sender.zone) or self._zones[self._zone.at(zone)],
         )
 
     def _spread(self, index: int, rng: random.Random) -> float:
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -18,6 +18,7 @@
 from flintridge.lab.load.driver import Load
 from flintridge.lab.load.requests import Drawn
 from flintridge.lab.load.trace import write as write_trace
+from flintridge.lab.partial.oracle import Dealing, Oracle
 from flintridge.lab.records import Log, NodeSaid
 from flintridge.lab.result import Result
 from flintridge.lab.scenario.model import NodeDrain, Scenario, Span, keeps_lines
@@ -26,6 +27,7 @@
 from flintridge.lab.virtual import Network, Stuck, VirtualLoop
 from flintridge.lab.world.fleet import World
 from flintridge.lab.world.links import LinkTable
+from flintridge.node import Node
 
 BACKENDS = ("virtual", "loopback")
 LEAD_MS = 2_000.0  # before the warm-up: nodes start and get ready
@@ -41,18 +43,21 @@
     defect: str | None = None,
     events: Path | None = None,
     trace: Path | None = None,
+    dealing: Dealing | None = None,
 ) -> Result:
     """Play a day and judge it.
 
     `defect` names one of `flintridge.lab.defects.DEFECTS` to plant in every node (virtual only); `events` is
     a file for the log, one JSON line a record; `trace` one for the requests, to be replayed by another day
-    (`load.trace`). Raises ValueError for a backend or defect that there is none
-    of, OSError where the log cannot be written.
+    (`load.trace`); `dealing`: budgets are dealt out by demand (virtual only). Raises ValueError for a backend
+    or defect that there is none of, OSError where the log cannot be written.
     """
     if backend not in BACKENDS:
         raise ValueError(f"backend: {backend!r}: one of {', '.join(BACKENDS)}")
     if defect is not None and (backend != "virtual" or defect not in DEFECTS):
         raise ValueError(f"defect: {defect!r}: one of {', '.join(sorted(DEFECTS))}, on the virtual backend")
+    if backend != "virtual" and dealing is not None:
+        raise ValueError(f"dealing: on the virtual backend only, and this is {backend!r}")
     if backend != "virtual" and any(isinstance(fault, NodeDrain) for fault in scenario.faults):
         raise ValueError(f"faults: node_drain: on the virtual backend only, and this is {backend!r}")
     began, cpu = time.perf_counter(), time.process_time()
@@ -60,7 +65,7 @@
     requests: list[Drawn] = []
     playing = day if trace is None else partial(day, on_request=requests.append)
     if backend == "virtual":
-        ended, usage = _play_virtual(scenario, seed, log, defect, playing)
+        ended, usage = _play_virtual(scenario, seed, log, defect, playing, dealing)
     else:
         from flintridge.lab.backend.loopback import play_loopback
 
@@ -168,13 +173,17 @@
 
 
 def _play_virtual(
-    scenario: Scenario, seed: int, log: Log, defect: str | None, playing: Callable[..., Any]
+    scenario: Scenario,
+    seed: int,
+    log: Log,
+    defect: str | None,
+    playing: Callable[..., Any],
+    dealing: Dealing | None = None,
 ) -> tuple[str, dict[str, Any]]:
     seeds = Seeds(seed)
     links = LinkTable(scenario.links, seeds)
     loop = VirtualLoop(Network(links.link))
     fabric = VirtualFabric(loop, links, loop.time() + (LEAD_MS + scenario.warmup_s * 1000) / 1000)
-    plant = None if defect is None else DEFECTS[defect].apply
     starts = seeds.of("nodes/start")
     made: list[VirtualNodes] = []
 
@@ -184,6 +193,15 @@
         peers = None
         if scenario.peers is not None:
             peers = VirtualPeers(scenario.peers, tuple(world.nodes), seeds.of("peers").randbytes)
+        plants: list[Callable[[Node], object]] = [] if defect is None else [DEFECTS[defect].apply]
+        if dealing is not None:
+            tenants = [tenant.name for tenant in scenario.tenants]
+            plants.append(Oracle(dealing, log, fabric.clock, list(world.nodes), tenants).plant)
+
+        def plant(node: Node) -> None:
+            for each in plants:
+                each(node)
+
         nodes = VirtualNodes(fabric, log, start_ms, world.node_config, plant, sockets, peers)
         nodes.keeps_lines = keeps_lines(scenario)
         made.append(nodes)
--- a/flintridge/lab/scenario/model.py
+++ b/flintridge/lab/scenario/model.py
@@ -127,6 +127,7 @@
     share: Positive = 1.0
     usage: Amount = 1.0  # what it really sends, as a multiple of its share
     quota_per_s: Amount = 0.0  # over all nodes (0: none)
+    zone: Name | None = None  # whose nodes all its requests come to; none: as the load's do
 
 
 class Keys(Part, kw_only=True, frozen=True):
@@ -145,7 +146,8 @@
     shape: Literal["flat", "wave", "bursty"] = "flat"
     swing: Share = 0.3  # of the rate, up and down
     period_s: Positive = 20.0
-    zone_skew: Share = 0.0  # of all traffic that the first zone gets beyond its even part
+    # Of all traffic, what the first zone gets beyond its even part: of two even zones, 0.4 is nine to one.
+    zone_skew: Share = 0.0
     hints: Literal["none", "rough", "exact"] = "rough"
     tells_size: bool = True
     trace: str = ""  # a recorded trace to replay in place of all this, relative to the scenario's file
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -156,8 +156,9 @@
             self.room.give(request.kept)
         self._open.clear()
 
-    def told(self, members: api.MemberList) -> None:
-        self._tell(members)
+    def told(self, event: api.Event) -> None:
+        """Something that the module is to know: a list of servers, what this node holds of budgets."""
+        self._tell(event)
 
     def begins(self, attempt: DeliveryAttempt, long: Long) -> Passage | None:
         """An attempt is served with a long value: the way to its client, or None where nobody waits for it.
