--- a/flintridge/budgets/holding.py
+++ b/flintridge/budgets/holding.py
@@ -51,12 +51,22 @@
     floor: int  # of it, never lent
     lease: float = 4_000.0  # ms, by the borrower's clock
     drift: float = 0.02  # most by which a clock runs faster or slower than true time, as a share
+    keep: float = (
+        0.0  # ms for which what was begun with a loan may still go on: nothing begins in the last of it
+    )
 
     def __post_init__(self) -> None:
         if not 0 <= self.floor <= self.part:
             raise ValueError(f"floor {self.floor} must be from 0 to the part of {self.part}")
         if not self.lease > 0 or not 0 <= self.drift < 0.5:
             raise ValueError(f"lease {self.lease:g} must be over 0, drift {self.drift:g} from 0 to under 0.5")
+        if not 0 <= self.keep < self.lease:
+            raise ValueError(f"keep {self.keep:g} must be from 0 to under the lease of {self.lease:g}")
+
+    @property
+    def use(self) -> float:
+        """Milliseconds by the borrower's clock in which a loan may be used."""
+        return self.lease - self.keep
 
     @property
     def lasts(self) -> float:
@@ -99,6 +109,18 @@
         whole = max(0, self.own(now) - self._out(now)) + borrowed
         return whole if self.alone else whole // 2
 
+    def after(self, now: float) -> int:
+        """What may be used at any later instant at which nothing more was heard: nothing borrowed, and no
+        more of its own than now."""
+        if now < self.quiet_until:
+            return 0
+        whole = max(0, self.own(now) - self._out(now))
+        return whole if self.alone else whole // 2
+
+    def until(self, now: float) -> float:
+        """The first end of what is borrowed; infinite where nothing is."""
+        return min((loan.until for loan in self.borrowed.values() if now < loan.until), default=float("inf"))
+
     def own(self, now: float) -> int:
         """Its part. At first its floor: the life before it may have lent the rest, and nobody remembers."""
         return self.terms.part if now >= self.begun + self.terms.lasts else self.terms.floor
@@ -129,6 +151,13 @@
         self.asked.pop((lender, id), None)
         return Give(id) if self.borrowed.pop((lender, id), None) is not None else None
 
+    def forgo(self, lender: str, id: int) -> Give:
+        """A call that nobody answered is taken back: a grant that comes later counts nothing here, and the
+        lender need not wait for its end."""
+        self.asked.pop((lender, id), None)
+        self.borrowed.pop((lender, id), None)
+        return Give(id)
+
     def hear(self, now: float, peer: Peer, word: Word, need: int = 0) -> Word | None:
         """Take a word in; the answer to it, if any. `need`: what this process keeps for itself."""
         match word:
@@ -144,7 +173,8 @@
         key, until = (peer, ask.id), now + self.terms.lasts
         loan = self.lent.get(key)
         if loan is not None and now < loan.until:
-            if not self.alone:
+            # Guards this process's own need: what it lent comes back for it at the end, and no earlier.
+            if not self.alone or self.own(now) - self._out(now) < min(need, self.own(now)):
                 return None  # it ends by itself
             self.lent[key] = Loan(loan.amount, max(loan.until, until))
             return Grant(ask.id, loan.amount, ask.stamp)
@@ -157,7 +187,7 @@
     def _borrow(self, now: float, lender: str, grant: Grant) -> None:
         key = lender, grant.id
         # What was not asked for, or was given back since, is not one's own; nor what came too late.
-        if key not in self.asked or now >= (until := grant.stamp + self.terms.lease):
+        if key not in self.asked or now >= (until := grant.stamp + self.terms.use):
             return
         known = self.borrowed.get(key)
         amount = grant.amount if known is None else min(known.amount, grant.amount)
@@ -175,8 +205,10 @@
 
     def joined(self, now: float, notice: float = 0.0) -> None:
         """Another process of this node lives. `notice`, at the one that has just begun: milliseconds until
-        the other has noticed as well; nothing is used here before."""
-        self.alone, self.quiet_until = False, now + notice
+        the other has noticed as well; nothing is used here before, nor while what that began may go on."""
+        self.alone = False
+        if notice:
+            self.quiet_until = now + notice + self.terms.keep
 
     def parted(self, now: float) -> None:
         """This process is alone again. What the other lent nobody here remembers: as after a start."""
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -87,6 +88,8 @@
         self._handling = False
         self._closed = False
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
+        self.moved: Callable[[DeliveryAttempt, int], None] | None = None  # told +1 and -1: an attempt is out
+        self.seen: Callable[[int], None] | None = None  # called with the tenant of each request that is new
 
     def attach(self, delivery: DeliveryDriver, watch: WatchDriver) -> None:
         self._delivery, self._watch = delivery, watch
@@ -122,6 +125,8 @@
         deadline = now + patience - margin
         guard = self._clock.call_at(deadline + margin / 2, self._due, uid)
         self._open[uid] = Open(envelope, reply, deadline, guard, kept)
+        if self.seen is not None and not envelope.retry:
+            self.seen(envelope.tenant)
         self._tell(
             api.Request(
                 id=uid,
@@ -156,8 +161,7 @@
             self.room.give(request.kept)
         self._open.clear()
 
-    def told(self, event: api.Event) -> None:
-        """Something that the module is to know: a list of servers, what this node holds of budgets."""
+    def told(self, event: api.MemberList | api.Holdings) -> None:
         self._tell(event)
 
     def begins(self, attempt: DeliveryAttempt, long: Long) -> Passage | None:
@@ -180,6 +184,8 @@
         if attempt.ended:
             return
         attempt.ended = True
+        if self.moved is not None:
+            self.moved(attempt, -1)
         self._counters.add(f"attempts_{answer.outcome.value}")
         if answer.spoilt:
             self._counters.add("attempts_spoilt")
@@ -283,6 +289,8 @@
         attempt = DeliveryAttempt(uid, len(request.attempts), server, request.envelope, now, until)
         request.attempts.append(attempt)
         request.out += 1
+        if self.moved is not None:
+            self.moved(attempt, +1)
         over = attempt.number >= self._settings.limits.max_attempts
         if request.answered or over or now >= request.deadline:
             self.attempt_ended(attempt, Answer(api.Outcome.MOOT))
