Give scenarios a table [budgets], on both backends and in the rig

Ruled out: a table of its own names. It has those of the node's own format, with the same defaults, and is refused in a scenario for what a node would refuse: no [peers], nothing on, strict without quotas, too few places, too many bytes, a lease too short for places.

Change: `[budgets]` in the scenario's model; virtual nodes are configured with it, processes get it as a table of their file. `Rig` takes parts of its scenario by name. `benchmarks.budgets_gain` plays it (`lent`, `lent-cut`, `lent-third`), and keeps what it has played.

--- a/benchmarks/budgets_gain.py
+++ b/benchmarks/budgets_gain.py
@@ -13,7 +13,6 @@
 """
 
 import argparse
-import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -29,21 +28,23 @@
 
 DAYS = Path(__file__).resolve().parent / "days"
 FOR_GOOD_S = 100_000.0
-CUTS = {"lent-cut": (0.0, 1), "lent-third": (5.0, 3)}  # from when on (s), one of how many nodes
-PEERS = ["peers.bytes_per_s=16000.0"]
-LENT = ["budgets.tenants=true", "budgets.floors=true"]
+# From when on (s), and one of how many nodes. The first: before the warm-up, as soon as all nodes are ready
+# and before any may have lent.
+CUTS = {"lent-cut": (-60.0, 1), "lent-third": (5.0, 3)}
+PEERS = "peers={}"
 MODES: dict[str, tuple[Dealing | None, list[str]]] = {
     "level": (None, []),
     "even": (None, []),
     "quotas": (Dealing(tenants=True), []),
     "floors": (Dealing(floors=True), []),
     "oracle": (Dealing(tenants=True, floors=True), []),
-    "heard": (None, PEERS),
-    "lent": (None, PEERS + LENT),
-    "lent-quotas": (None, [*PEERS, LENT[0]]),
-    "lent-floors": (None, [*PEERS, LENT[1]]),
-    "lent-cut": (None, PEERS + LENT),
-    "lent-third": (None, PEERS + LENT),
+    "heard": (None, [PEERS]),
+    "lent": (None, [PEERS, "budgets={tenants=true, floors=true}"]),
+    "lent-quotas": (None, [PEERS, "budgets={tenants=true}"]),
+    "lent-floors": (None, [PEERS, "budgets={floors=true}"]),
+    "lent-strict": (None, [PEERS, "budgets={tenants=true, floors=true, strict=true}"]),
+    "lent-cut": (None, [PEERS, "budgets={tenants=true, floors=true}"]),
+    "lent-third": (None, [PEERS, "budgets={tenants=true, floors=true}"]),
 }
 
 
@@ -79,12 +80,23 @@
     figures |= {name: share for name, share in sorted(result.goodput_by_tenant.items())}
     rest = {"attempts": result.attempts_per_request, "deferred": result.deferred / result.requests}
     broken = {rule: count for rule, count in result.rules.items() if count}
-    return {"day": day, "mode": mode, "seed": seed, **figures, **rest, "rules": broken, "ended": result.ended}
+    return {
+        "day": day,
+        "mode": mode,
+        "seed": seed,
+        "set": more,
+        **figures,
+        **rest,
+        "rules": broken,
+        "ended": result.ended,
+    }
 
 
 def tell(day: str, modes: list[str], rows: list[dict[str, Any]]) -> None:
-    names = [name for name in rows[0] if name not in ("day", "mode", "seed", "rules", "ended")]
+    names = [name for name in rows[0] if name not in ("day", "mode", "seed", "set", "rules", "ended")]
     by_mode = {mode: [row for row in rows if row["mode"] == mode] for mode in modes}
+    same = set.intersection(*({row["seed"] for row in found} for found in by_mode.values()))
+    by_mode = {mode: [row for row in found if row["seed"] in same] for mode, found in by_mode.items()}
     print(f"\n{day}, {len(by_mode[modes[0]])} seeds")
     print(f"{'mode':12}" + "".join(f"{name:>11}" for name in names))
     for mode in modes:
@@ -111,20 +123,23 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--set", action="append", default=[], help="a change of the day, as of `lab run`")
-    parser.add_argument("--json", type=Path)
+    parser.add_argument("--json", type=Path, help="keeps the figures; what is there is not played again")
     args = parser.parse_args()
     days, modes = args.days.split(","), args.modes.split(",")
     seeds = range(args.first, args.first + args.seeds)
     jobs = [(day, mode, seed, args.set) for day in days for seed in seeds for mode in modes]
-    rows = []
+    rows: list[dict[str, Any]] = []
+    if args.json is not None and args.json.exists():
+        rows = [row for row in orjson.loads(args.json.read_bytes()) if row["set"] == args.set]
+    known = {(row["day"], row["mode"], row["seed"]) for row in rows}
+    jobs = [job for job in jobs if job[:3] not in known]
     with ProcessPoolExecutor(args.jobs) as pool:
         for row in pool.map(one, jobs):
             rows.append(row)
-            print(f"{len(rows)} of {len(jobs)}", end="\r", file=sys.stderr, flush=True)
+            if args.json is not None:
+                args.json.write_bytes(orjson.dumps(rows))
     for day in days:
-        tell(day, modes, [row for row in rows if row["day"] == day])
-    if args.json is not None:
-        args.json.write_bytes(orjson.dumps(rows))
+        tell(day, modes, sorted((row for row in rows if row["day"] == day), key=lambda row: row["seed"]))
 
 
 if __name__ == "__main__":
--- a/flintridge/lab/backend/loopback.py
+++ b/flintridge/lab/backend/loopback.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
+
 from flintridge.lab.backend.loopback_fabric import LoopbackFabric, precise_loop, raise_descriptor_limit
 from flintridge.lab.backend.processes import ProcessNodes
 from flintridge.lab.fabric import Fabric, NodeRunner
@@ -101,6 +103,8 @@
         key_file = nodes.folder / "key"
         key_file.write_bytes(KEY)
         nodes.peers = PeerNet(fabric, log, scenario.peers, tuple(world.nodes), str(key_file))
+        if scenario.budgets is not None:
+            nodes.peers.tables["budgets"] = msgspec.to_builtins(scenario.budgets)
     return nodes
 
 
--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -9,18 +9,19 @@
 from functools import partial
 from typing import Any
 
+import msgspec
 import orjson
 
 from flintridge.lab.fabric import DayClock, Links, Listener
 from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, view_of
 from flintridge.lab.records import Connections, Line, Log, NodeSaid
-from flintridge.lab.scenario.model import Peers
+from flintridge.lab.scenario.model import Budgets, Peers
 from flintridge.lab.virtual import VirtualLoop
 from flintridge.net.clock import SystemClock
 from flintridge.net.counters import Counters
 from flintridge.node import Node
 from flintridge.peers.wire import Wire
-from flintridge.settings import Address, ConfigError, PeersConfig, node_config
+from flintridge.settings import Address, BudgetsConfig, ConfigError, PeersConfig, node_config
 
 UNIX_MS = 1_700_000_000_000.0  # the Unix time at which each virtual day begins
 LISTENING_PORT = 11211
@@ -116,11 +117,17 @@
 
 @dataclass(slots=True, frozen=True)
 class VirtualPeers:
-    """How the nodes of a virtual day hear one another: by one address each, as the network has the links."""
+    """How the nodes of a virtual day hear one another: by one address each, as the network has the links.
+    And what they lend one another, if anything."""
 
     part: Peers
     names: tuple[str, ...]
     entropy: Callable[[int], bytes]
+    budgets: Budgets | None = None
+
+    def shared(self) -> BudgetsConfig | None:
+        """What of it is for `NodeConfig.budgets`."""
+        return None if self.budgets is None else BudgetsConfig(**msgspec.structs.asdict(self.budgets))
 
     def config(self, fabric: VirtualFabric, node: str) -> PeersConfig:
         known = tuple((name, Address(*fabric.address("peers", name))) for name in self.names)
@@ -213,7 +220,8 @@
             config = node_config(life.config, {})
             entropy = os.urandom
             if self._peers is not None:
-                config = replace(config, peers=self._peers.config(self._fabric, name))
+                peers = self._peers.config(self._fabric, name)
+                config = replace(config, peers=peers, budgets=self._peers.shared())
                 entropy = self._peers.entropy
             node = life.node = Node(config, clock, life.log, life.counters, entropy=entropy)
             loop.add_signal_handler(signal.SIGHUP, self._read_again, name, life)
--- a/flintridge/lab/faults/check.py
+++ b/flintridge/lab/faults/check.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from flintridge.config.contradictions import SHARED, SHORTEST_USE
 from flintridge.lab.faults.choose import Candidate, fitting
 from flintridge.lab.scenario import model as m
 from flintridge.lab.world.fleet_plan import server_zones
@@ -21,6 +22,7 @@
     found.extend(_names(scenario))
     found.extend(_fleet(scenario))
     found.extend(_classes(scenario))
+    found.extend(_budgets(scenario))
     found.extend(_spans(scenario, ""))
     for i, fault in enumerate(scenario.faults):
         found.extend(f"faults[{i}].{text}" for text in _fault(scenario, fault))
@@ -97,6 +99,39 @@
             )
 
 
+def _budgets(scenario: m.Scenario) -> Iterator[str]:
+    budgets = scenario.budgets
+    if budgets is None:
+        return
+    if scenario.peers is None:
+        yield "budgets: parts are lent to nodes that are heard; the scenario needs a table [peers]"
+    elif budgets.bytes_per_s > scenario.peers.bytes_per_s / 4:
+        most = scenario.peers.bytes_per_s / 4
+        yield (
+            f"budgets.bytes_per_s: {budgets.bytes_per_s:g} is more than a quarter of peers.bytes_per_s;"
+            f" allowed is up to {most:g}"
+        )
+    if not any(getattr(budgets, name) for name in SHARED):
+        yield f"budgets: nothing is switched on; one of {', '.join(SHARED)} must be"
+    if budgets.tenants and not any(tenant.quota_per_s for tenant in scenario.tenants):
+        yield "budgets.tenants: no tenant has a quota_per_s above 0; false is allowed"
+    if budgets.strict and not budgets.tenants:
+        yield "budgets.strict: quotas are not shared; it must be false while budgets.tenants is"
+    longest = max(cls.deadline_ms for cls in scenario.classes) + SHORTEST_USE
+    for name in ("cache_places", "origin_places"):
+        places = getattr(budgets, name)
+        if 0 < places < scenario.nodes.count:
+            yield (
+                f"budgets.{name}: {places} is less than one a node;"
+                f" allowed is 0, or at least {scenario.nodes.count}"
+            )
+        if places and budgets.lease_ms < longest:
+            yield (
+                f"budgets.lease_ms: {budgets.lease_ms:g} is too short for places, which are taken up as long"
+                f" as a client waits; allowed is {longest:g} and more"
+            )
+
+
 def _spans(part: Any, path: str) -> Iterator[str]:
     """Spans whose low end is above the high one, wherever they are."""
     for name in part.__struct_fields__:
--- a/flintridge/lab/partial/rig.py
+++ b/flintridge/lab/partial/rig.py
@@ -48,14 +48,16 @@
         scenario: Scenario | None = None,
         tables: dict[str, dict[str, Any]] | None = None,
         loaded: bool = False,
+        **parts: Any,
     ) -> None:
-        """`scenario`: the day's world, where a test needs another one than the usual of the lab. `tables`:
-        further tables of each node's configuration. `loaded`: clients send what the scenario says, for as
-        long as the block lasts."""
+        """`scenario`: the day's world, where a test needs another one than the usual of the lab. `parts`: of
+        it, by the names of `Scenario` (`budgets`, `tenants`, `load` ...). `tables`: further tables of each
+        node's configuration. `loaded`: clients send what the scenario says as long as the block lasts."""
         self.scenario = scenario or Scenario(
             name="rig", nodes=Nodes(count=count), peers=Peers(), load=Load(rate_per_s=1.0), length_s=3600.0,
             classes=(RequestClass(name="read"),),
         )  # fmt: skip
+        self.scenario = msgspec.structs.replace(self.scenario, **parts)
         self.names = tuple(f"n{i}" for i in range(count))
         self.log = Log()
         self._seed = seed
--- a/flintridge/lab/run.py
+++ b/flintridge/lab/run.py
@@ -192,7 +192,8 @@
         sockets = scenario.nodes.sockets
         peers = None
         if scenario.peers is not None:
-            peers = VirtualPeers(scenario.peers, tuple(world.nodes), seeds.of("peers").randbytes)
+            entropy = seeds.of("peers").randbytes
+            peers = VirtualPeers(scenario.peers, tuple(world.nodes), entropy, scenario.budgets)
         plants: list[Callable[[Node], object]] = [] if defect is None else [DEFECTS[defect].apply]
         if dealing is not None:
             tenants = [tenant.name for tenant in scenario.tenants]
--- a/flintridge/lab/scenario/model.py
+++ b/flintridge/lab/scenario/model.py
@@ -47,6 +47,22 @@
     sealed: bool = True  # by a key of the fleet
 
 
+class Budgets(Part, kw_only=True, frozen=True):
+    """Which budgets the nodes lend one another (`[budgets]` in their own configurations)."""
+
+    tenants: bool = False  # the tenants' quotas
+    floors: bool = False  # what gates let through at the least
+    cold: bool = False  # the work that may go to a server that has just started
+    cache_places: Count = 0  # attempts that may be out at the caches, over all nodes (0: no such bound)
+    origin_places: Count = 0  # and at the origin
+    repeats_per_s: Amount = 0.0  # attempts that may follow a failed one, over all nodes (0: no such bound),
+    repeat_share: Share = 0.1  # and beside these so many for each first attempt
+    strict: bool = False  # what is beyond a quota is refused, whatever room there is
+    floor: Annotated[float, Meta(ge=0.01, le=1)] = 0.25  # of a node's part, never lent
+    lease_ms: Annotated[float, Meta(ge=1500, le=60_000)] = 4000.0
+    bytes_per_s: Annotated[float, Meta(ge=200, le=2.5e6)] = 2000.0  # of those of peers
+
+
 class Kind(Part, kw_only=True, frozen=True):
     """A kind of cache server."""
 
@@ -509,6 +525,7 @@
     prices: Prices = Prices()
     goal: Goal = Goal()
     peers: Peers | None = None  # none: the nodes hear nobody
+    budgets: Budgets | None = None  # none: each node holds its even part
     faults: tuple[AnyFault, ...] = ()
     expect: Expect = Expect()
     wall_limit_s: Annotated[float, Meta(gt=0, le=86_400)] = 600.0  # of real time; a run beyond it is ended
--- a/tests/test_lab_budgets.py
+++ b/tests/test_lab_budgets.py
@@ -5,11 +5,15 @@
 import pytest
 
 from flintridge.config.faults import ConfigFaults
+from flintridge.lab.backend.virtual import VirtualPeers
 from flintridge.lab.fabric import DayClock
 from flintridge.lab.partial.oracle import Dealing, Oracle, parts
+from flintridge.lab.partial.rig import Rig
 from flintridge.lab.records import Asked, Log
 from flintridge.lab.run import play
 from flintridge.lab.scenario.load import load
+from flintridge.lab.scenario.model import Budgets, Peers
+from flintridge.settings import BudgetsConfig
 
 NODES = ("n0", "n1", "n2", "n3")
 
@@ -103,3 +107,46 @@
     assert any('"node":"n0"' in line for line in lines)
     with pytest.raises(ConfigFaults, match=r"tenants\[1\].zone: there is no zone 'moon'"):
         load("uneven", ["tenants[1].zone='moon'"])
+
+
+# The table [budgets] of a scenario
+
+
+@pytest.mark.parametrize(
+    ("table", "said"),
+    [
+        ("tenants=true", None),
+        ("floors=true, strict=true", "budgets.strict: quotas are not shared"),
+        ("floor=0.5", "budgets: nothing is switched on; one of tenants, floors"),
+        ("floors=true, bytes_per_s=5000", "allowed is up to 4000"),
+        ("origin_places=3", "allowed is 0, or at least 10"),
+        ("origin_places=40, lease_ms=2000", "allowed is 2500 and more"),
+        ("floor=0", "budgets.floor: 0: must be"),
+    ],
+)
+def test_budgets_that_no_node_could_share_are_refused_in_a_scenario(table, said):
+    changes = ["peers={}", f"budgets={{{table}}}"]
+    if said is None:
+        assert load("uneven", changes).budgets == Budgets(tenants=True)
+        changes, said = changes[1:], "budgets: parts are lent to nodes that are heard"
+    with pytest.raises(ConfigFaults) as raised:
+        load("uneven", changes)
+    assert said in str(raised.value)
+    with pytest.raises(ConfigFaults, match=r"budgets\.tenants: no tenant has a quota_per_s"):
+        load("uneven", ["peers={}", "budgets={tenants=true}", "tenants=[]"])
+
+
+def test_a_scenarios_budgets_are_the_nodes_own_with_the_same_defaults():
+    part = Budgets(tenants=True, strict=True, lease_ms=2000.0)
+    peers = VirtualPeers(Peers(), NODES, bytes, part)
+    assert peers.shared() == BudgetsConfig(tenants=True, strict=True, lease_ms=2000.0)
+    assert VirtualPeers(Peers(), NODES, bytes).shared() is None
+    assert Rig(2, budgets=part).scenario.budgets == part
+
+
+def test_nodes_of_a_day_lend_one_another_what_the_scenario_says():
+    small = ["length_s=3", "warmup_s=3", "load.rate_per_s=120", "nodes.count=4", "servers[0].count=1"]
+    day = load("uneven", [*small, "peers={}", "budgets={tenants=true, floors=true}"])
+    result = play(day, 1)
+    assert result.ended == "whole" and not result.broken
+    assert all(counts["log_budgets"] == 1 for counts in result.counters.values())
