Take down what nodes hold of budgets, and judge the sum and the quotas from outside

Ruled out: counting requests by when they arrive at servers. One may wait at a gate between being let in and being sent, so the bound would need the longest wait; counted by their asking they need none. Summing up what consoles say on loopback: they are asked one after another, and a loan then shows at both ends.

`Rig.breaches` judges both.

--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -13,7 +13,7 @@
 import orjson
 
 from flintridge.lab.fabric import DayClock, Links, Listener
-from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, view_of
+from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, held_of, view_of
 from flintridge.lab.records import Connections, Line, Log, NodeSaid
 from flintridge.lab.scenario.model import Budgets, Peers
 from flintridge.lab.virtual import VirtualLoop
@@ -303,16 +303,17 @@
 
     def _look_at_peers(self) -> None:
         self._viewer = self._fabric.clock.call_later(VIEW_MS, self._look_at_peers)
+        now = self._fabric.clock.now()
         for name, life in self._lives.items():
-            host = self._fabric.network.host(name)
-            if (
-                self.running(name)
-                and not host.paused
-                and life.node is not None
-                and life.node.peers is not None
-            ):
+            if not self.running(name) or life.node is None:
+                continue
+            if life.node.peers is not None and not self._fabric.network.host(name).paused:
                 _, said = life.node.peers.said()
-                self._log.add(view_of(self._fabric.clock.now(), name, said))
+                self._log.add(view_of(now, name, said))
+            if life.node.budgets is not None:  # also of one that stands still: it may use it once it goes on
+                _, said = life.node.budgets.said()
+                for held in held_of(now, name, said):
+                    self._log.add(held)
 
     def running(self, node: str) -> bool:
         return node in self._ended and not self._ended[node].is_set()
--- a/flintridge/lab/partial/peernet.py
+++ b/flintridge/lab/partial/peernet.py
@@ -8,7 +8,7 @@
 from flintridge.lab.backend.loopback_fabric import LoopbackFabric
 from flintridge.lab.partial.own import own_format
 from flintridge.lab.partial.relay import Relay
-from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, view_of
+from flintridge.lab.partial.views import FLEET, KEY, VIEW_MS, datagram_of, held_of, view_of
 from flintridge.lab.records import Log
 from flintridge.lab.scenario.model import Peers
 from flintridge.lab.world.links import LinkTable
@@ -19,7 +19,7 @@
 
 
 class PeerNet:
-    """Relays for each direction of each pair of `names`, and the consoles' views in the log."""
+    """Relays for each direction of each pair of `names`, and what the consoles tell in the log."""
 
     def __init__(
         self, fabric: LoopbackFabric, log: Log, part: Peers, names: tuple[str, ...], key_file: str
@@ -104,6 +104,11 @@
             if said is not None and "lives" in said:
                 # Of the call, not of the answer: what it tells was so at the earliest then.
                 self._log.add(view_of(asked_at, node, said))
+            if "budgets" in self.tables or "budgets" in self.own_tables.get(node, {}):
+                asked_at = self._fabric.clock.now()
+                said = await self.ask(node, "/admin/budgets")
+                for held in held_of(asked_at, node, said) if said and "budgets" in said else ():
+                    self._log.add(held)
 
     def _passed(self, source: str, target: str, data: bytes, fate: str) -> None:
         self._log.add(datagram_of(self._wire, self._fabric.clock.now(), source, target, data, fate))
--- a/flintridge/lab/partial/rig.py
+++ b/flintridge/lab/partial/rig.py
@@ -23,6 +23,7 @@
 from flintridge.lab.fabric import NodeRunner
 from flintridge.lab.judge.facts import Day
 from flintridge.lab.judge.findings import Findings
+from flintridge.lab.judge.rules import budgets as budget_rules
 from flintridge.lab.judge.rules import peers as peer_rules
 from flintridge.lab.load.driver import Load as Clients
 from flintridge.lab.records import Line, Log, View, Way
@@ -196,9 +197,10 @@
                 await asyncio.sleep(LOOK_S)
 
     def breaches(self) -> list[Breach]:
-        """Of the rules on peers, by the records alone."""
+        """Of the rules on peers and on budgets, by the records alone."""
         scenario = msgspec.structs.replace(self.scenario, length_s=86_400.0)
         day = Day(self.log, scenario, "loopback")
-        findings = Findings(peer_rules.RULES)
+        findings = Findings((*peer_rules.RULES, *budget_rules.RULES))
         peer_rules.check(day, findings)
+        budget_rules.check(day, findings)
         return findings.breaches
--- a/flintridge/lab/partial/views.py
+++ b/flintridge/lab/partial/views.py
@@ -1,8 +1,8 @@
-"""What the lab takes down of a node's view of its peers, and what its fleets are called."""
+"""What the lab takes down of a node's view of its peers and of budgets, and what its fleets are called."""
 
 from typing import Any
 
-from flintridge.lab.records import Datagram, View
+from flintridge.lab.records import Datagram, Held, View
 from flintridge.peers.wire import Dropped, Wire
 
 FLEET = "lab"
@@ -28,6 +28,23 @@
     )
 
 
+def held_of(t: float, node: str, said: dict[str, Any]) -> list[Held]:
+    """The records of an answer to GET /admin/budgets. Raises KeyError where it is none."""
+    return [
+        Held(
+            t=t,
+            node=node,
+            life=said["life"],
+            budget=one["name"],
+            usable=float(one["usable"]),
+            own=float(one["own"]),
+            lent=float(sum(loan["amount"] for loan in one["lent"])),
+            borrowed=float(sum(loan["amount"] for loan in one["borrowed"])),
+        )
+        for one in said["budgets"]
+    ]
+
+
 def datagram_of(wire: Wire, t: float, source: str, target: str, data: bytes, fate: str) -> Datagram:
     """The record of a datagram on its way, which is read as far as the fleet's key goes."""
     try:
--- a/flintridge/lab/records.py
+++ b/flintridge/lab/records.py
@@ -227,6 +227,18 @@
     lives: list[tuple[str, str, str, float]]  # name, life, state, how long ago it lived as far as known (-1)
 
 
+class Held(Record, tag="held"):
+    """What a node's console tells of a budget that nodes lend one another, in even parts of it."""
+
+    node: str
+    life: str
+    budget: str
+    usable: float  # own, less what is lent, and what is borrowed
+    own: float
+    lent: float
+    borrowed: float
+
+
 class Line(Record, tag="line"):
     """A line of a node's log, on a day whose nodes hear one another or on which a fault waits for one."""
 
@@ -263,6 +275,7 @@
     | Happened
     | Way
     | View
+    | Held
     | Line
     | Datagram
 )
--- a/tests/test_lab_budgets.py
+++ b/tests/test_lab_budgets.py
@@ -2,17 +2,23 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 
 from flintridge.config.faults import ConfigFaults
+from flintridge.lab import records as r
 from flintridge.lab.backend.virtual import VirtualPeers
 from flintridge.lab.fabric import DayClock
+from flintridge.lab.judge.facts import Day
+from flintridge.lab.judge.findings import Findings
+from flintridge.lab.judge.rules import budgets as rules
 from flintridge.lab.partial.oracle import Dealing, Oracle, parts
 from flintridge.lab.partial.rig import Rig
+from flintridge.lab.partial.views import held_of
 from flintridge.lab.records import Asked, Log
 from flintridge.lab.run import play
 from flintridge.lab.scenario.load import load
-from flintridge.lab.scenario.model import Budgets, Peers
+from flintridge.lab.scenario.model import Budgets, Peers, Scenario
 from flintridge.settings import BudgetsConfig
 
 NODES = ("n0", "n1", "n2", "n3")
@@ -144,9 +150,123 @@
     assert Rig(2, budgets=part).scenario.budgets == part
 
 
-def test_nodes_of_a_day_lend_one_another_what_the_scenario_says():
-    small = ["length_s=3", "warmup_s=3", "load.rate_per_s=120", "nodes.count=4", "servers[0].count=1"]
+def test_nodes_of_a_day_lend_one_another_what_the_scenario_says(tmp_path):
+    small = ["length_s=3", "warmup_s=5", "load.rate_per_s=120", "nodes.count=4", "servers[0].count=1"]
     day = load("uneven", [*small, "peers={}", "budgets={tenants=true, floors=true}"])
-    result = play(day, 1)
+    result = play(day, 1, events=tmp_path / "events.jsonl")
     assert result.ended == "whole" and not result.broken
+    with (tmp_path / "events.jsonl").open("rb") as lines:
+        seen = [record for record in r.read(lines) if isinstance(record, r.Held)]
+    assert {one.budget for one in seen} == {"quota flood", "quota within", "quota small", "floors"}
+    assert any(one.lent for one in seen) and any(one.borrowed for one in seen)
     assert all(counts["log_budgets"] == 1 for counts in result.counters.values())
+
+
+# The rules
+
+
+def world(count=4, strict=True, **more):
+    raw = {
+        "nodes": {"count": count},
+        "peers": {},
+        "budgets": {"tenants": True, "strict": strict},
+        "tenants": [{"name": "a", "quota_per_s": 20.0}, {"name": "free"}],
+        "length_s": 20.0,
+        **more,
+    }
+    return msgspec.convert(raw, Scenario)
+
+
+def held(t, node, usable, budget="quota a", **more):
+    values = {"life": f"l{node}", "own": 1.0, "lent": 0.0, "borrowed": 0.0}
+    return r.Held(t=t, node=node, budget=budget, usable=usable, **(values | more))
+
+
+def said(t, node, state):
+    return r.NodeSaid(t=t, node=node, state=state)
+
+
+def got_in(t, node="n0", tenant="a", sent=True):
+    """A request that gets to a server, or is refused."""
+    uid = f"{tenant}{node}{t}"
+    found = [
+        r.Asked(
+            t=t, node=node, conn=1, uid=uid, first=uid, nth=0, due=t, cls="read", tenant=tenant, key="k",
+            write=False, wait_ms=500.0,
+        )
+    ]  # fmt: skip
+    if sent:
+        found.append(
+            r.Attempt(
+                t=t + 2, began=t + 1, node=node, server="s1", origin=False, conn=1, number=next(numbers),
+                uid=uid, key="k", write=False, wait_ms=400.0,
+            )
+        )  # fmt: skip
+    return found
+
+
+numbers = iter(range(1, 1 << 30))
+
+
+def broken(records, scenario, backend="virtual"):
+    findings = Findings(rules.RULES)
+    rules.check(Day(sorted(records, key=lambda record: record.t), scenario, backend), findings)
+    return findings.counts, [breach.text for breach in findings.breaches]
+
+
+def starts(count=4):
+    return [said(-5000.0, f"n{i}", "started") for i in range(count)]
+
+
+def test_what_all_may_use_is_never_more_than_there_are_nodes_at_one_instant():
+    lawful = [held(500.0, "n0", 2.5), held(500.0, "n1", 0.25), held(500.0, "n2", 0.25), held(500.0, "n3", 1)]
+    other = [held(500.0, "n0", 4.0, "floors"), held(1000.0, "n0", 4.0)]  # another budget, another instant
+    assert broken([*starts(), *lawful, *other], world())[0]["budget_sum"] == 0
+    over = [*lawful, held(500.0, "n3", 0.01)]
+    counts, texts = broken([*starts(), *over], world())
+    assert counts["budget_sum"] == 1
+    assert texts == ["5 processes may use 4.010 parts of quota a; there are 4"]
+    # Consoles that are asked one after another may show a loan at both ends.
+    assert broken([*starts(), *over], world(), "loopback")[0]["budget_sum"] == 0
+
+
+# A quota of 20 lets 30 a second in; 30 more and 8 for each of 4 processes in a row, and 15.5 for each process
+# that first sees the tenant: 15.5 here, as only n0 does.
+ROW = 30 + 4 * 8 + 15
+
+
+@pytest.mark.parametrize(
+    ("count", "seconds", "over"),
+    [(30 + ROW, 1.0, 0), (30 + ROW + 1, 1.0, 1), (60 + ROW, 2.0, 0), (60 + ROW + 1, 2.0, 1)],
+)
+def test_no_more_of_a_tenant_gets_to_servers_than_its_quota_lets_in(count, seconds, over):
+    day = [one for i in range(count) for one in got_in(1000.0 + i * seconds * 1000 / count)]
+    counts, texts = broken([*starts(), *day], world())
+    assert counts["quota_sum"] == over and len(texts) == over
+    assert all(f"{count} requests of a asked within {seconds:g} s" in text for text in texts)
+    # The same of a tenant without a quota, what got to no server, and where the rest may use what is free.
+    free = [one for i in range(count) for one in got_in(1000.0 + i, tenant="free")]
+    unsent = [one for i in range(count) for one in got_in(1000.0 + i, sent=False)]
+    assert broken([*starts(), *free, *unsent], world())[0]["quota_sum"] == 0
+    assert broken([*starts(), *day], world(strict=False))[0]["quota_sum"] == 0
+
+
+def test_each_process_that_begins_has_a_bucket_of_its_own():
+    begun = [*got_in(500.0), *got_in(501.0, "n1")]  # the window below holds neither first request
+    crowd = [one for i in range(30 + ROW - 15) for one in got_in(3000.0 + i * 10)]
+    assert broken([*starts(), *begun, *crowd], world())[0]["quota_sum"] == 0
+    more = [one for i in range(30) for one in got_in(3000.0 + i * 10, "n1")]
+    counts, _ = broken([*starts(), *begun, *crowd, *more], world())
+    assert counts["quota_sum"] >= 1
+    again = [said(2500.0, "n1", "killed"), said(2600.0, "n1", "started")]
+    fewer = [one for i in range(14) for one in got_in(3000.0 + i * 10, "n1")]
+    assert broken([*starts(), *begun, *crowd, *fewer], world())[0]["quota_sum"] == 1
+    assert broken([*starts(), *begun, *again, *crowd, *fewer], world())[0]["quota_sum"] == 0
+
+
+def test_what_a_console_tells_of_budgets_is_taken_down_in_even_parts():
+    loan = {"to": "n1", "life": "2", "amount": 0.25, "ends_in_ms": 900}
+    one = {"name": "floors", "usable": 0.75, "own": 1.0, "lent": [loan, loan], "borrowed": [loan]}
+    assert held_of(500.0, "n0", {"life": "1", "budgets": [one]}) == [
+        held(500.0, "n0", 0.75, "floors", lent=0.5, borrowed=0.25, life="1")
+    ]
