Plant two mistakes in lending nodes, each found by the judge of its rule

Need: a rule that nothing breaks shows nothing.

Ruled out: the mistakes of holdings one by one, which the explorer finds. One of them stands for the sum here.

--- /dev/null
+++ b/flintridge/lab/defects/sharing.py
@@ -0,0 +1,20 @@
+"""Mistakes in how a node uses budgets that nodes lend one another."""
+
+from flintridge.decide import Balancer
+from flintridge.lab.defects.lending import CreditBeforeDebit
+from flintridge.lab.defects.wrapping import put
+from flintridge.node import Node
+
+
+def loans_not_taken_off(node: Node) -> None:
+    """The node lends and goes on using what it lent."""
+    assert node.budgets is not None
+    for account in node.budgets.ledger.accounts.values():
+        account.holding = CreditBeforeDebit(account.budget.terms, account.holding.begun)
+
+
+def quota_not_taken(node: Node) -> None:
+    """The node looks whether a quota has room, and takes nothing from it."""
+    module = node.core._module
+    assert isinstance(module, Balancer)
+    put(module, "beyond_quota", lambda tenant: module.fill(tenant) < 1)
--- a/flintridge/lab/defects/table.py
+++ b/flintridge/lab/defects/table.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from flintridge.lab.defects import hearing, planted
+from flintridge.lab.defects import hearing, planted, sharing
 from flintridge.lab.scenario.model import Scenario
 from flintridge.node import Node
 
@@ -119,6 +119,18 @@
     ],
 }
 
+# All traffic comes to the nodes of one zone, and far more of the tenant's than its quota.
+LENT: dict[str, Any] = {
+    "zones": ["east", "west"],
+    "nodes": {"count": 4},
+    "peers": {},
+    "budgets": {"tenants": True, "strict": True},
+    "classes": [READS | {"work_ms": 2.0}],
+    "tenants": [{"name": "a", "quota_per_s": 20.0}],
+    "load": {"rate_per_s": 120.0, "zone_skew": 0.5},
+    "clients": {"leave_early": 0.0, "retries": 0},
+}
+
 
 def _defect(apply: Callable[[Node], None], *rules: str, hints: Mapping[str, Any] | None = None) -> Defect:
     return Defect(apply, frozenset(rules), hints or {})
@@ -152,5 +164,7 @@
     "silent_never_probed": _defect(hearing.silent_never_probed, "peers_deaf", hints=PEER_CUT),
     "bound_of_bytes_ignored": _defect(hearing.bound_of_bytes_ignored, "peers_bytes", hints=PEERS),
     "cut_is_not_felt": _defect(hearing.cut_is_not_felt, "peers_cut_off", hints=PEER_CUT),
+    "loans_not_taken_off": _defect(sharing.loans_not_taken_off, "budget_sum", hints=LENT),
+    "quota_not_taken": _defect(sharing.quota_not_taken, "quota_sum", hints=LENT),
     "breaks_on_leaving": _defect(planted.breaks_on_leaving, "stopped", hints=RESTART),
 }
