--- a/flintridge/budgets/ledger.py
+++ b/flintridge/budgets/ledger.py
@@ -379,7 +379,7 @@
 
     @staticmethod
     def _is_its_turn(account: Account, peer: Peer, ask: Ask, amount: int, now: float) -> bool:
-        """Not while another asked here in vain that holds less, by so much that one loan may change hands.
+        """Not while another asked here in vain that holds less, by so much that a loan may change hands.
         Guards who comes late against those that hold all there is to lend, and renew it. `amount`: of the loan
         that is to be renewed. One loan at a time: what changes hands is of no use to anybody meanwhile."""
         lasts = account.budget.terms.lasts
