Peers: ages told are taken for older by the drift, words cut off keep their turns, asks that double

Ages that others tell were not allowed the 2% by which clocks may run apart: a slow clock made them too young. A datagram was encoded again for each cut, and words that were cut had used up their turns. At 30% loss and 200 nodes eight suspicions a second, all of the living, crowded out other words.

Now: one packet, filled word by word as bytes allow; 1, 2, 4, 8 others asked instead of 3 once; eager probes only while half of a second's bytes are left; a look at all lives only where one can have grown too old.

--- a/flintridge/peers/presence.py
+++ b/flintridge/peers/presence.py
@@ -14,27 +14,31 @@
 from random import Random
 from typing import Protocol
 
+from msgspec.structs import replace
+
 from flintridge.peers.bucket import Bucket
-from flintridge.peers.table import Heard, Life, Table
-from flintridge.peers.wire import LONGEST, Dropped, Entry, Kind, Packet, State, Wire
+from flintridge.peers.table import DRIFT, MOST_LIVES, Heard, Life, Table
+from flintridge.peers.wire import LONGEST, Dropped, Entry, Kind, Packet, State, Wire, size
 
 PERIOD = 300.0  # between two probes
 EAGER_PERIOD = 100.0  # just after the start, and after a gap
 EAGER = 2_000.0
+EAGER_PART = 0.5  # of the bytes of a second that must be left for that
 PING_WAIT = 200.0  # for an answer, before others are asked
 ROUND = 1_000.0  # for an answer to others as well; then the probe has failed
-ASKED = 3  # others at a time
+LEAVE_TO = 6  # are told by one that ends in order
+ASKED = 8  # others at a time, at the most: one, then twice as many each time
 SETTLE = 200.0  # between two looks at all lives
 GAP = 1_500.0  # a clock that jumps by more: the process was stopped, or starved
 SLOWEST = 3  # most that a node's own slowness stretches its probes, less one
-DRIFT = 0.02  # most by which two clocks may run apart
 LEAST_LIMIT = 4_000.0  # knowledge older than this is none, at the least
 ROUNDS = 16.0  # and longer by the time in which words of all lives come round so often
 DOUBT = 1_500.0  # a suspicion lasts so long, times the decimal log of the fleet's size where that is over 1
 SILENT_TURN = 4  # of so many probes one goes to those that are silent
-USUAL_ENTRIES = 24  # of a datagram
+USUAL_ENTRIES = 24  # of a datagram, at the least, where bytes allow
 BYTES_AN_ENTRY = 330.0  # of the bytes of a second, for each entry that a datagram can then have (measured)
-NEWS_ENTRIES = 32  # where there are more news
+LONGEST_WORDY = 800  # bytes of a datagram with words of others; what is left of it is for facts
+COUNT = 2  # bytes by which the count of entries may grow
 ROOM_PART = 0.25  # of what is left of a second's bytes that a datagram with words of others may take
 ANSWERS_PART = (
     0.6  # of the bytes that answers may take: a flood of calls must not silence a node's own probes
@@ -119,11 +123,11 @@
         self.counts = Counts()
         self.topics: dict[str, tuple[Topic, Bucket]] = {}
         self.slowness = 0
-        size = len(self.table.names) + 1
+        fleet = len(self.table.names) + 1
         # With words come the answers to one's own probes, and those to one's answers.
         words = 2 * self._usual_entries(bytes_per_s)
-        self.limit = LEAST_LIMIT + ROUNDS * PERIOD * size / words
-        self.doubt = DOUBT * max(1.0, math.log10(size + 1))
+        self.limit = LEAST_LIMIT + ROUNDS * PERIOD * fleet / words
+        self.doubt = DOUBT * max(1.0, math.log10(fleet + 1))
         self._wire = wire
         self._rng = rng
         self._told = told
@@ -175,7 +179,8 @@
         self._end_errands(now)
         self.table.doubted(now, self.doubt)
         if now >= self._next_at and not self._leaving:
-            period = EAGER_PERIOD if now < self._eager_until else PERIOD
+            eager = now < self._eager_until and self._bucket.room(now) > EAGER_PART * self._bucket.rate
+            period = EAGER_PERIOD if eager else PERIOD
             self._next_at = max(now, self._next_at + period * self._rng.uniform(0.9, 1.1))
             self._probe_next(now)
         if now >= self._settle_at:
@@ -245,9 +250,10 @@
         for ref, probe in [*self._probes.items()]:
             waited = now - probe.began
             if waited >= PING_WAIT * stretch * probe.pings and waited < ROUND * stretch:
-                if probe.pings == 1:
-                    self._ask_others(ref, probe, now)
-                probe.pings += 1  # where a third of all is lost, one probe in four would accuse somebody
+                # Where a third of all is lost, one probe in five would accuse somebody were it pinged once, and
+                # one in seventy were others asked once (reckoned; the second one measured).
+                self._ask_others(ref, probe, now)
+                probe.pings += 1
                 self._send(probe.name, probe.life, Kind.PING, ref, now)
             if waited >= ROUND * stretch:
                 del self._probes[ref]
@@ -261,8 +267,11 @@
                     self.table.suspect(one, now)
 
     def _ask_others(self, ref: int, probe: Probe, now: float) -> None:
-        others = [one for one in self.table if one.fresh and one.name not in (probe.name, self.table.me)]
-        for one in self._rng.sample(others, min(ASKED, len(others))) if probe.life else ():
+        if not probe.life:
+            return
+        fresh, wanted = self.table.fresh, min(ASKED, 1 << (probe.pings - 1))
+        some = self._rng.sample(fresh, min(wanted + 2 * MOST_LIVES, len(fresh)))
+        for one in [one for one in some if one.name not in (probe.name, self.table.me)][:wanted]:
             if self._send(one.name, one.life, Kind.ASK, ref, now, about=(probe.name, probe.life)):
                 probe.expected += 1
 
@@ -292,11 +301,11 @@
             return None
         return packet
 
-    def _drop(self, reason: str, **fields: object) -> None:
+    def _drop(self, reason: str) -> None:
         self.counts.add(f"dropped_{reason}")
         if reason not in self._told_once:
             self._told_once.add(reason)
-            self._told("peers_dropped", reason=reason, **fields)
+            self._told("peers_dropped", reason=reason)
 
     def _take_in(self, packet: Packet, size: int, now: float) -> None:
         table = self.table
@@ -403,7 +412,7 @@
         self._leaving = True
         fresh = [one for one in self.table if one.fresh and one.name != self.table.me]
         mine = Entry(self.table.me, self.table.life, self.table.incarnation, State.LEFT, 0)
-        for one in self._rng.sample(fresh, min(2 * ASKED, len(fresh))):
+        for one in self._rng.sample(fresh, min(LEAVE_TO, len(fresh))):
             self._send(one.name, one.life, Kind.NEWS, 0, now, extra=mine)
 
     def _send(
@@ -425,47 +434,9 @@
         first = [extra] if extra is not None else []
         if reached is not None:
             first.append(table.entry(reached, now))
-        # Words of others never take more than a part of what is left of this second. Guards the answers that
-        # are still to come in it: without them this node would seem dead for having said too much.
-        wordy = room * ROOM_PART
-        share = min(1.0, wordy / LONGEST * 2) if kind in WORDY else 0.0
-        said = table.entries(to, int(USUAL_ENTRIES * share), int(NEWS_ENTRIES * share), now)
-        while True:
-            entries = (*first, *said)
-            packet = self._packet(name, life, kind, ref, now, to, about, entries)
-            data = self._wire.encode(packet)
-            if len(data) <= wordy or not said:
-                break
-            del said[-max(1, len(said) // 4) :]
-        facts = self._facts(name, now, int(min(LONGEST, room)) - len(data))
-        if facts:
-            data = self._wire.encode(self._packet(name, life, kind, ref, now, to, about, entries, facts))
-        if len(data) > min(LONGEST, room) or not self._bucket.take(now, len(data)):
-            self.counts.add("unsent")
-            return False
-        if answer:
-            self._answers.take(now, len(data))
-        self.counts.add("datagrams_out")
-        self.counts.add("bytes_out", len(data))
-        self._out.append(Out(name, data))
-        return True
-
-    def _packet(
-        self,
-        name: str,
-        life: int,
-        kind: Kind,
-        ref: int,
-        now: float,
-        to: Life | None,
-        about: tuple[str, int] | None,
-        entries: tuple[Entry, ...],
-        facts: tuple[tuple[str, bytes], ...] = (),
-    ) -> Packet:
         self._serial += 1
         echo, held = (-1, 0) if to is None or to.stamp < 0 else (to.stamp, int(now - to.stamp_at))
-        table = self.table
-        return Packet(
+        packet = Packet(
             self._wire.fleet,
             table.me,
             table.life,
@@ -478,9 +449,26 @@
             echo,
             held,
             about,
-            entries,
-            facts,
+            tuple(first),
         )
+        # Words of others never take more than a part of what is left of this second. Guards the answers that
+        # are still to come in it: without them this node would seem dead for having said too much.
+        wordy = min(LONGEST_WORDY, room * ROOM_PART) - self._wire.head - size(packet) - COUNT
+        if said := table.entries(to, wordy, kind in WORDY, now):
+            packet = replace(packet, entries=(*first, *said))
+        if self.topics:
+            left = int(min(LONGEST, room)) - self._wire.head - size(packet)
+            packet = replace(packet, facts=self._facts(name, now, left))
+        data = self._wire.encode(packet)
+        if len(data) > min(LONGEST, room) or not self._bucket.take(now, len(data)):
+            self.counts.add("unsent")
+            return False
+        if answer:
+            self._answers.take(now, len(data))
+        self.counts.add("datagrams_out")
+        self.counts.add("bytes_out", len(data))
+        self._out.append(Out(name, data))
+        return True
 
     def _facts(self, to: str, now: float, room: int) -> tuple[tuple[str, bytes], ...]:
         said = []
--- a/flintridge/peers/table.py
+++ b/flintridge/peers/table.py
@@ -9,18 +9,20 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from flintridge.peers.wire import Entry, State
+from flintridge.peers.wire import MOST_ENTRIES, Entry, State, size
 
 MOST_LIVES = 4  # of a name: old and new of an upgrade, and two that ended lately
 REMEMBER = 60_000.0  # a life that ended is known for so long, so that late words of it wake nothing
 NEWER = 1_000.0  # a life of which so much more is known than was told is told again,
 TELL = 3  # so often
 YOUNG_PART = 0.7  # of the words in a datagram; the others are of lives in turn, so that none is left out
+DRIFT = 0.02  # most by which two clocks may run apart
 QUIET = (
     3_000.0  # where nothing at all was proved for so long, nobody is heard: some datagrams come each second
 )
 WINDOW = 256  # serial numbers of a life that may come out of order
 NEVER = -math.inf
+STATES = tuple(State)  # by number: cheaper than a call of the class
 
 
 @dataclass(slots=True, eq=False)
@@ -63,6 +65,11 @@
         return True
 
 
+def _lives(one: Life, since: float) -> bool:
+    """What makes a life fresh, where knowledge counts from `since`."""
+    return one.state < State.SILENT and one.known_at >= since
+
+
 @dataclass(slots=True)
 class Heard:
     """What part of the fleet a node hears, itself included, at one moment."""
@@ -92,18 +99,21 @@
         self._by_name: dict[str, dict[int, Life]] = {name: {} for name in (*self.names, me)}
         self._rng = rng
         self._turns: list[Life] = []  # whose words go out next
-        self._news: dict[
-            Life, None
-        ] = {}  # those with news left, and those that are suspect: most are neither
         self._suspects: dict[Life, None] = {}
         self._young: dict[
             Life, int
         ] = {}  # those of which something newer was learned, the latest last: left to tell
         self._proved_at = now  # the newest instant that anything proved
+        self._fresh: dict[Life, None] = {}
+        self._changed: dict[Life, None] = {}  # what may have become fresh, or ended, since the last look
+        self._woke = False  # since then
+        self._counted_from = now  # at the last look
+        self._oldest = math.inf  # no fresh life was known later than this at the last look at all of them
         self._forget_at = now + REMEMBER
         self.awake_from = now  # what was known before counts no more
         self.view = Heard(len(self.names) + 1, 1, 0, {1: now})
         self.retold = max(4, math.ceil(4 * math.log10(len(self.names) + 2)))  # times that news are passed on
+        self._news: list[dict[Life, None]] = [{} for _ in range(self.retold + 1)]  # by how often yet
 
     # Lives
 
@@ -144,7 +154,8 @@
 
     def _drop(self, one: Life) -> None:
         del self._by_name[one.name][one.life]
-        self._news.pop(one, None)
+        self._news[one.news_left].pop(one, None)
+        self._changed.pop(one, None)
         self._suspects.pop(one, None)
         self._young.pop(one, None)
 
@@ -161,7 +172,8 @@
         if as_of is None:
             return
         self._learn(one, as_of)
-        one.heard_at = max(one.heard_at, as_of)
+        if as_of > one.heard_at:
+            one.heard_at = as_of
         self._proved_at = max(self._proved_at, as_of)
         if one.state is not State.ALIVE and as_of > one.since:
             # Known by its own bytes to have lived after the accusation. It is to be told of it, so that it
@@ -175,19 +187,22 @@
             if entry.state in (State.SUSPECT, State.SILENT) and entry.incarnation >= self.incarnation:
                 self.incarnation = entry.incarnation + 1  # it goes with every datagram from now on
             return
-        known_at, state = as_of - entry.age, State(entry.state)
+        # Guards against a teller whose clock is slow: its ages are too short. Whoever passes them on adds the
+        # same small share of the age again.
+        known_at, state = as_of - entry.age / (1 - DRIFT), STATES[entry.state]
         one = self.find(entry.name, entry.life)
         if one is None:
             if state >= State.SILENT or known_at < max(now - limit, self.awake_from):
                 return  # an old word of a life that is not known any more wakes nothing
             if (one := self.take(entry.name, entry.life, now)) is None:
                 return
-            one.incarnation, one.news_left = entry.incarnation, self.retold
-            self._news[one] = None
+            one.incarnation = entry.incarnation
+            self._tell(one, self.retold)
         if one.state is State.LEFT:
             return
         self._learn(one, known_at)
-        one.told_at = max(one.told_at, known_at)
+        if known_at > one.told_at:
+            one.told_at = known_at
         if state is State.LEFT:
             self._turn(one, state, now)
         elif entry.incarnation > one.incarnation:
@@ -213,6 +228,8 @@
                 self._turn(one, State.ALIVE if lived else State.SILENT, now, news=not lived)
 
     def _learn(self, one: Life, known_at: float) -> None:
+        if not one.fresh:
+            self._changed[one] = None
         if known_at > one.told_best + NEWER:
             one.told_best = known_at
             self._young.pop(one, None)
@@ -220,13 +237,20 @@
 
     def _turn(self, one: Life, state: State, now: float, news: bool = True) -> None:
         one.state, one.since = state, now
+        self._changed[one] = None
         if state is State.SUSPECT:
             self._suspects[one] = None
         else:
             self._suspects.pop(one, None)
         if news:
-            one.news_left = self.retold
-            self._news[one] = None
+            self._tell(one, self.retold)
+
+    def _tell(self, one: Life, left: int) -> None:
+        """It is news for `left` datagrams more."""
+        self._news[one.news_left].pop(one, None)
+        one.news_left = left
+        if left:
+            self._news[left][one] = None
 
     # What is passed on
 
@@ -236,48 +260,77 @@
             one.name, one.life, one.incarnation, one.state if state is None else state, math.ceil(age)
         )
 
-    def entries(self, to: Life | None, most: int, news: int, now: float) -> list[Entry]:
-        """For a datagram to `to`: what it is held for itself, then news, what is young, and others in turn;
-        `most` in all, and up to `news` where there are more news than that."""
-        said: list[Entry] = []
+    def entries(self, to: Life | None, room: float, others: bool, now: float) -> list[Entry]:
+        """For a datagram to `to`, in at most `room` bytes: what it is held for itself; and, where words of
+        `others` may go, news, what is young, and lives in turn. Only what fits uses up its turn."""
+        said: dict[Life, Entry] = {}
+        left = room
+
+        def fits(one: Life, keep: float, state: State | None = None) -> bool:
+            nonlocal left
+            entry = self.entry(one, now, state)
+            after = left - size(entry)
+            if after < keep:
+                return False
+            said[one], left = entry, after
+            return True
+
         if to is not None and (to.accused is not None or to.state in (State.SUSPECT, State.SILENT)):
-            said.append(self.entry(to, now, to.accused or to.state))
-        latest = sorted((one for one in self._news if one is not to), key=lambda one: -one.news_left)
-        chosen = dict.fromkeys(latest[:news])
-        for one in chosen:
-            one.news_left -= 1
-            if one.news_left <= 0:
-                del self._news[one]
-        spent = []
+            fits(to, 0.0, to.accused or to.state)
+        if not others:
+            return [*said.values()]
+        told: list[Life] = []
+        for turn in reversed(self._news):
+            for one in turn:
+                if one is to:
+                    continue
+                if not fits(one, 0.0):
+                    break
+                told.append(one)
+            else:
+                continue
+            break
+        for one in told:
+            self._tell(one, one.news_left - 1)
+        told = []
         for one in reversed(self._young):
-            if len(chosen) + len(said) >= YOUNG_PART * most:
+            if one is to or one.state >= State.SILENT or one in said:
+                continue
+            if not fits(one, (1 - YOUNG_PART) * room):
                 break
-            if one is not to and one.state < State.SILENT and one not in chosen:
-                chosen[one] = None
-                self._young[one] -= 1
-                if self._young[one] <= 0:
-                    spent.append(one)
-        for one in spent:
-            del self._young[one]
+            told.append(one)
+        for one in told:
+            self._young[one] -= 1
+            if self._young[one] <= 0:
+                del self._young[one]
         looked = 0
-        while len(chosen) + len(said) < most and looked < 2 * most:
+        while looked < 2 * MOST_ENTRIES and len(said) < MOST_ENTRIES:
             if not self._turns:
-                self._turns = [one for one in self if one.fresh]
+                self._turns = [*self._fresh]
                 self._rng.shuffle(self._turns)
                 if not self._turns:
                     break
-            one = self._turns.pop()
+            one = self._turns[-1]
             looked += 1
-            if one is not to and one.fresh and one.state < State.SILENT:
-                chosen[one] = None
-        return said + [self.entry(one, now) for one in chosen]
+            wanted = one is not to and one not in said and one.fresh and one.state < State.SILENT
+            if wanted and not fits(one, 0.0):
+                break
+            self._turns.pop()
+        return [*said.values()][:MOST_ENTRIES]
 
     # What is heard
 
+    @property
+    def fresh(self) -> list[Life]:
+        """As last looked."""
+        return [*self._fresh]
+
+    def _counts_from(self, now: float, limit: float) -> float:
+        """Who is known to have lived then or later is heard."""
+        return math.inf if self._proved_at < now - QUIET else max(now - limit, self.awake_from)
+
     def is_fresh(self, one: Life, now: float, limit: float) -> bool:
-        if one.state >= State.SILENT or self._proved_at < now - QUIET:
-            return False
-        return one.known_at >= max(now - limit, self.awake_from)
+        return _lives(one, self._counts_from(now, limit))
 
     def standing(self, one: Life, now: float, limit: float) -> str:
         """For staff: heard (by its own bytes), through (by the word of others), suspect, silent or left."""
@@ -291,19 +344,28 @@
 
     def look(self, now: float, limit: float) -> bool:
         """Bring the view up to `now`; whether the number of names that are heard changed."""
-        view, heard = self.view, 1
-        quiet, since = self._proved_at < now - QUIET, max(now - limit, self.awake_from)
-        for name, lives in self._by_name.items():
-            any_fresh = False
-            for one in lives.values():
-                fresh = (
-                    not quiet and one.state < State.SILENT and (one.heard_at >= since or one.told_at >= since)
-                )
-                any_fresh |= fresh
-                if fresh is not one.fresh:
-                    one.fresh = fresh
-                    view.epoch += fresh
-            heard += any_fresh and name != self.me
+        view, since, some = self.view, self._counts_from(now, limit), False
+        # What nobody told anything of can only have grown too old, and not before the oldest did.
+        every = since > self._oldest or since < self._counted_from
+        self._counted_from = since
+        if every:
+            self._oldest = math.inf
+        for one in [*self] if every else self._changed:
+            fresh = _lives(one, since)
+            if fresh:
+                self._oldest = min(self._oldest, one.known_at)
+            if fresh is not one.fresh:
+                one.fresh, some = fresh, True
+                if fresh:
+                    self._fresh[one] = None
+                    view.epoch += 1
+                else:
+                    del self._fresh[one]
+        self._changed.clear()
+        if not some and not self._woke:
+            return False
+        self._woke = False
+        heard = 1 + len({one.name for one in self._fresh} - {self.me})
         if heard == view.heard:
             return False
         for count in range(view.heard + 1, heard + 1):
@@ -315,7 +377,8 @@
 
     def wake(self, now: float) -> None:
         """After a gap in this node's own clock: all is old until it is heard again."""
-        self.awake_from = now
+        self.awake_from, self._woke = now, True
+        self._fresh.clear()
         for one in self:
             one.fresh = False
             if one.state is State.SUSPECT:
--- a/flintridge/peers/wire.py
+++ b/flintridge/peers/wire.py
@@ -87,6 +87,11 @@
 _packets = msgspec.msgpack.Decoder(Packet)
 
 
+def size(part: Entry | Packet) -> int:
+    """Its bytes, without head and seal."""
+    return len(_encoder.encode(part))
+
+
 class Wire:
     """To bytes and back, for one fleet."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
 from flintridge.peers.presence import Presence
 from flintridge.peers.stream import NONCE, Ask, Exchange, Hello, Piece, Refusal
 from flintridge.peers.table import MOST_LIVES, REMEMBER, Table
-from flintridge.peers.wire import Dropped, Entry, Kind, Packet, State, Wire
+from flintridge.peers.wire import Dropped, Entry, Kind, Packet, State, Wire, size
 
 KEY = b"k" * 32
 LIMIT = 4_000.0
@@ -117,6 +117,32 @@
     assert all_hear(machines, ("n0",))
 
 
+def test_ages_told_by_a_slow_clock_make_no_life_fresher_than_it_is():
+    machines = Machines(3, 3, link=Link(jitter=0))
+    machines.living("n1")[0].rate = 0.98
+    machines.run(3_000)
+    machines.cut(("n0",), ("n2",))  # which hears of it by n1 alone
+    machines.run(2_000)
+    machines.kill("n0")
+    died = machines.now
+    for _ in range(30):
+        machines.run(100)
+        assert newest_claim(machines, "n2", "n0") <= died + 1
+
+
+def test_words_for_which_there_is_no_room_keep_their_turns():
+    table = Table("n0", 1, tuple(f"n{i}" for i in range(1, 40)), 0.0, Random(1))
+    for name in table.names:
+        table.told(Entry(name, 9, 0, State.ALIVE, 0), 0.0, DOUBT, 0.0, LIMIT)
+    table.look(0.0, LIMIT)
+    for _ in range(100):
+        assert not table.entries(None, 6.0, True, 0.0)
+    assert {one.news_left for one in table} == {table.retold}
+    said = table.entries(None, 80.0, True, 0.0)
+    assert said and sum(map(size, said)) <= 80
+    assert sum(table.retold - one.news_left for one in table) == len(said)
+
+
 # Deaths, returns, cuts
 
 
