--- a/flintridge/peers/presence.py
+++ b/flintridge/peers/presence.py
@@ -262,12 +262,11 @@
     def _fill_targets(self, only: bool | None = None) -> None:
         """Each heard life, or the name where none is heard; in an order of this round's own."""
         made: dict[bool, list[tuple[str, int]]] = {True: [], False: []}
-        for name in self.table.names:
-            lives = [one for one in self.table.of(name) if one.fresh or one.state is State.SUSPECT]
-            for one in lives:
-                made[True].append((name, one.life))
-            if not lives:
-                made[False].append((name, 0))
+        lives = [one for one in self.table.fresh_or_suspect if one.name != self.table.me]
+        made[True] = [(one.name, one.life) for one in lives]
+        if only is not True:
+            names = {one.name for one in lives}
+            made[False] = [(name, 0) for name in self.table.names if name not in names]
         for heard, turns in made.items():
             if only is None or only is heard:
                 self._rng.shuffle(turns)
--- a/flintridge/peers/table.py
+++ b/flintridge/peers/table.py
@@ -308,13 +308,13 @@
             self._young[one] -= 1
             if self._young[one] <= 0:
                 del self._young[one]
-        looked = 0
+        looked, again = 0, False
         while looked < 2 * MOST_ENTRIES and len(said) < MOST_ENTRIES:
             if not self._turns:
-                self._turns = [*self._fresh]
+                if again or not self._fresh:
+                    break  # all are in it
+                self._turns, again = [*self._fresh], True
                 self._rng.shuffle(self._turns)
-                if not self._turns:
-                    break
             one = self._turns[-1]
             looked += 1
             wanted = one is not to and one not in said and one.fresh and one.state < State.SILENT
@@ -349,6 +349,10 @@
         """As last looked."""
         return [*self._fresh]
 
+    @property
+    def fresh_or_suspect(self) -> list[Life]:
+        return [*(self._fresh | self._suspects)]
+
     def _counts_from(self, now: float, limit: float) -> float:
         """Who is known to have lived then or later is heard."""
         return math.inf if self._proved_at < now - QUIET else max(now - limit, self.awake_from)
