--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -235,6 +235,58 @@
     assert all_hear(machines)
 
 
+def test_looks_at_a_part_of_the_lives_find_what_a_look_at_all_finds():
+    machines = Machines(8, 4, link=Link(loss=0.3))
+    for turn in range(120):
+        machines.run(250)
+        if turn % 10 == 3:
+            machines.kill(f"n{turn % 7}"), machines.start(f"n{turn % 7}")
+        if turn % 30 == 5:
+            machines.cut(("n7",), machines.names[:7])  # for longer than QUIET, and less than the limit
+        if turn % 30 == 20:
+            machines.heal()
+        machines.pause("n6") if turn % 40 == 8 else machines.resume("n6") if turn % 40 == 18 else None
+        for name in machines.names:
+            machine, now = machines.machine(name), machines.living(name)[-1].clock(machines.now)
+            table = machine.table
+            table.look(now, machine.limit)
+            assert all(one.fresh is table.is_fresh(one, now, machine.limit) for one in table)
+            assert table.view.heard == 1 + len({one.name for one in table.fresh if one.name != name})
+
+
+def test_a_table_that_is_asked_for_leaves_out_the_lives_that_are_heard():
+    names = tuple(f"n{i}" for i in range(1, 41))
+    here, there = (Table("n0", 1, names, 0.0, Random(seed)) for seed in (1, 2))
+    for i, name in enumerate(names):
+        for table in (here, there)[i % 2 :]:
+            table.told(Entry(name, i + 9, 0, State.ALIVE, 0), 0.0, DOUBT, 0.0, LIMIT)
+    here.look(0.0, LIMIT), there.look(0.0, LIMIT)
+    lacking = {one for one in there.fresh if one.name not in {one.name for one in here.fresh}}
+    answers = [set(there.missing(here.heard_bits())) for _ in range(8)]
+    assert all(answer <= lacking for answer in answers) and set.union(*answers) == lacking
+    assert min(map(len, answers)) >= 15 and len(lacking) == 20
+    assert len(there.missing(b"")) == 40 and len(there.missing(b"12345")) <= 40
+
+
+def test_tables_are_asked_for_while_names_are_missing_and_no_longer():
+    machine = presence(("n1", "n2", "n3"))
+    wire, asked = Wire("fleet", None), []
+    for i in range(600):
+        now = 100.0 * i
+        machine.tick(now)
+        pings = [
+            ping
+            for out in machine.take()
+            if (ping := wire.decode(out.data)).kind == Kind.PING and out.name == "n1"
+        ]
+        for ping in pings:
+            ack = packet(kind=Kind.ACK, ref=ping.ref, to=7, echo=ping.stamp, serial=i + 1, stamp=i)
+            machine.received(now, wire.encode(ack))
+        asked.append(machine.table_from(now))
+    assert {name for name in asked if name} == {"n1"} and sum(map(bool, asked)) == p.TABLES
+    assert not any(asked[300:])
+
+
 # Bounds
 
 
