--- a/flintridge/lab/partial/machines.py
+++ b/flintridge/lab/partial/machines.py
@@ -154,17 +154,27 @@
 
     # Exchanges
 
+    def _exchanged(self, process: Process, sent: int) -> bool:
+        """False where that many bytes have to wait."""
+        if not process.pace.take(self.now, sent):
+            return False
+        second = int(self.now // 1000)
+        process.exchanged[second] = process.exchanged.get(second, 0) + sent
+        return True
+
     def _take_table(self, process: Process, peer: str) -> None:
         """As the driver: the whole answer within CALL_TIME, or none of it."""
+        if not process.alive or process.paused:
+            return
+        if not self._exchanged(process, CALL + len(process.machine.table.names)):
+            self.at(self.now + PACED, lambda: self._take_table(process, peer))
+            return
         served = self.living(peer)[-1] if self.living(peer) else None
         if served is None or served.paused or served.serves >= PLACES:
             return
         served.serves += 1
         asked_at, until = process.clock(self.now), self.now + CALL_TIME
-        bits = process.machine.table.heard_bits()
-        lives = served.machine.table.missing(bits)
-        second = int(self.now // 1000)  # the call itself is short, and not paced here
-        process.exchanged[second] = process.exchanged.get(second, 0) + len(bits) + CALL
+        lives = served.machine.table.missing(process.machine.table.heard_bits())
         told: list[Entry] = []
 
         def piece(at: int, first: bool) -> None:
@@ -179,11 +189,9 @@
             now = served.clock(self.now)
             said = [served.machine.table.entry(one, now) for one in lives[at : at + LIVES]]
             sent = sum(map(size, said)) + FRAME + (CALL if first else 0)
-            if not served.pace.take(self.now, sent):
+            if not self._exchanged(served, sent):
                 self.at(self.now + PACED, lambda: piece(at, first))
                 return
-            second = int(self.now // 1000)
-            served.exchanged[second] = served.exchanged.get(second, 0) + sent
             link = self.links.get((peer, process.name), self.usual)
             late, again = link.delay + self.rng.random() * link.jitter, RESENT
             while self.rng.random() < link.loss and late < CALL_TIME:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -299,7 +299,10 @@
         machines.start(name)
     machines.run(10_000)
     assert all(
-        max(process.seconds.values()) <= 3_000 for lives in machines.processes.values() for process in lives
+        max(seconds.values(), default=0) <= 3_000
+        for lives in machines.processes.values()
+        for process in lives
+        for seconds in (process.seconds, process.exchanged)
     )
     assert all_hear(machines)
 
