Say what the oracle of budgets is no bound on

Need: in proportion to demand a flood gets all of its quota, so the oracle is not the best that could be.

Ruled out: an oracle that knows what servers can do; no node knows that either.

Change: the module and the benchmark say so; nothing else.

--- a/benchmarks/budgets_gain.py
+++ b/benchmarks/budgets_gain.py
@@ -1,4 +1,4 @@
-"""What it gains to lend budgets between nodes, and the bound of that: parts dealt out by one who sees all.
+"""What it gains to lend budgets between nodes, beside parts dealt out by one who sees all demand.
 
     python -m benchmarks.budgets_gain [--days uneven,zones] [--modes even,quotas,floors,oracle] [--seeds 20]
                                       [--jobs 4] [--json FILE]
--- a/flintridge/lab/partial/oracle.py
+++ b/flintridge/lab/partial/oracle.py
@@ -1,8 +1,11 @@
-"""The bound of what lending budgets between nodes can gain: parts dealt out by one who sees all demand.
+"""What lending budgets between nodes is measured by: parts dealt out by one who sees all demand.
 
 Once a second each node that runs is told, by the event that carries holdings, a part of each tenant's quota
 (and of the gates' floors) in proportion to the first tries that clients sent it of late. All parts of a
 budget together are as many as there are nodes, never more. What is dealt is up to a second old.
+
+It knows all demand, and is no bound on what could be chosen by it: in proportion, a tenant that floods gets
+all of its quota as well, at the others' cost where that is more than servers can do.
 """
 
 from collections import Counter, deque
