--- a/benchmarks/peers_scale.py
+++ b/benchmarks/peers_scale.py
@@ -1,7 +1,8 @@
 """What presence costs and how soon it knows, by the size of the fleet and the share of datagrams lost.
 
     python -m benchmarks.peers_scale              # 20, 200 nodes, some minutes
-    python -m benchmarks.peers_scale 20 200 1000 --seeds 2 --rows rows.jsonl --plot peers.svg
+    python -m benchmarks.peers_scale 20 200 --seeds 2 --rows rows.jsonl
+    python -m benchmarks.peers_scale 1000 --seeds 1 --steady 10 --rows rows.jsonl --plot peers.svg
 
 In virtual time, by seed; a row each. Times are seconds after the event, until half, or 99%, of the living
 know of it. "Missed" counts, for each node and hour, moments in which a life that runs stops being heard;
@@ -135,7 +136,7 @@
     parser.add_argument("--loss", nargs="*", type=float, default=[0.0, 0.1, 0.3])
     parser.add_argument("--steady", type=int, default=40, help="seconds of calm that are looked at")
     parser.add_argument("--rows", help="a file that keeps rows: those in it are not played again")
-    parser.add_argument("--plot", help="an SVG of the times against the number of nodes")
+    parser.add_argument("--plot", help="an SVG of the times against the number of nodes, of all rows kept")
     asked = parser.parse_args()
     seeds = range(1, asked.seeds + 1)
     jobs = [(n, loss, seed, asked.steady) for n in asked.counts for loss in asked.loss for seed in seeds]
@@ -162,7 +163,7 @@
                 "| " + " | ".join(f"{value:.3g}" if value < 100 else f"{value:.0f}" for value in means) + " |"
             )
     if asked.plot:
-        _plot(rows, asked.plot)
+        _plot([*known.values()], asked.plot)
 
 
 def _plot(rows: list[list[float]], path: str) -> None:
