--- a/flintridge/lab/defects/table.py
+++ b/flintridge/lab/defects/table.py
@@ -103,7 +103,9 @@
 PEER_KILL = {**PEERS, "faults": [{"what": "node_kill", "at_s": 4.0, "for_s": 8.0, "nodes": [1]}]}
 PEER_PAUSE = {
     **PEERS,
-    "nodes": {"count": 12},
+    # So many, and so few bytes, that after a pause it takes longer than a look to hear all anew.
+    "nodes": {"count": 20},
+    "peers": {"bytes_per_s": 4000.0},
     "length_s": 12.0,
     "faults": [{"what": "node_pause", "at_s": 4.0, "for_s": 2.6, "nodes": [0]}],
 }
