Merge what several nodes were told: registers with dots, tried in every interleaving

Need: holds, quotas and notes must outlive the process that was told, be the same on all nodes once they hear one another, and never come back once they were ended.

Ruled out: a leader's log and quorum registers (the lesser half of a cut can say nothing), the newest time of day (one of two deeds is lost without a word). Deletions that are safe by time alone, with one that was away throwing its copy away: it loses what it alone had written, and the explorer found a way round each version of it. Instead each copy knows, for every writer, up to which write it had all; what is below that and is not here was ended.

--- /dev/null
+++ b/benchmarks/copies_search.py
@@ -0,0 +1,69 @@
+"""All interleavings of a few processes with copies of one key, to exhaustion.
+
+    python -m benchmarks.copies_search            # two processes at a time
+
+A row for each bound on what may happen: how often processes write, delete, ask, lose or double a word, start
+empty, are cut off, and time goes on; the states seen, the steps to the farthest, and what broke.
+"""
+
+import os
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from flintridge.lab.explore import explore
+from flintridge.lab.explore.copies import Copies, Left
+
+NONE = {"writes": 0, "deletes": 0, "asks": 0}
+# How many processes, whether one entry is in all copies, and what may happen.
+SEARCHES: dict[str, tuple[int, bool, dict[str, int]]] = {
+    "three, two writes, a deletion": (3, False, {"writes": 2, "deletes": 1}),
+    "three, a write, a deletion, two calls": (3, False, {"writes": 1, "deletes": 1, "asks": 2}),
+    "three, a write, a deletion, a call, one starts empty": (
+        3,
+        False,
+        {"writes": 1, "deletes": 1, "asks": 1, "restarts": 1},
+    ),
+    "three, a deletion, a call, a cut, time": (3, True, {"deletes": 1, "asks": 1, "cuts": 1, "ticks": 2}),
+    "three, two writes, a double, a loss": (3, False, {"writes": 2, "doubles": 1, "losses": 1}),
+    "three, two writes, a deletion, two calls": (3, False, {"writes": 2, "deletes": 1, "asks": 2}),
+    "three, a write, a deletion, two calls, a cut, time": (
+        3,
+        True,
+        {"writes": 1, "deletes": 1, "asks": 2, "cuts": 1, "ticks": 2},
+    ),
+    "two, two writes, a deletion, two calls": (2, False, {"writes": 2, "deletes": 1, "asks": 2}),
+    "two, two writes, two calls, one starts empty": (2, False, {"writes": 2, "asks": 2, "restarts": 1}),
+    "two, a write, a deletion, a call, a cut, time": (
+        2,
+        True,
+        {"writes": 1, "deletes": 1, "asks": 1, "cuts": 1, "ticks": 3},
+    ),
+    "two, a write, a deletion, a double, a loss, two calls": (
+        2,
+        False,
+        {"writes": 1, "deletes": 1, "doubles": 1, "losses": 1, "asks": 2},
+    ),
+}
+
+
+def search(name: str) -> str:
+    size, written, left = SEARCHES[name]
+    began = time.perf_counter()
+    found = explore(Copies.begin(size, Left(**NONE | left), written=written), most=150_000)
+    took = time.perf_counter() - began
+    whole = "all" if found.whole else "cut short"
+    return (
+        f"| {name} | {found.states:,} | {found.depth} | {whole} | {found.broken or 'nothing'} | {took:.0f} |"
+    )
+
+
+def main() -> None:
+    os.nice(10)
+    print("| what may happen | states | steps | seen | broken | s |\n| --- | --- | --- | --- | --- | --- |")
+    with ProcessPoolExecutor(2) as pool:
+        for line in pool.map(search, SEARCHES):
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,280 @@
+"""Copies: the algebra of every type, all interleavings of a few, planted defects, the rules one by one."""
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flintridge.lab.defects.copies import COPYING
+from flintridge.lab.explore import explore
+from flintridge.lab.explore.copies import Copies, Left
+from flintridge.replica.copy import Copy, Limits, Standing
+from flintridge.replica.entry import Entry, Seen, Version, merge, ordered, winner, written
+from flintridge.replica.types import TABLE, Refused, checked
+
+play = settings(derandomize=True, deadline=None, database=None, max_examples=100)
+NONE = {"writes": 0, "deletes": 0, "asks": 0}
+LIMITS = Limits(remember=1000.0, wait=500.0, entries=50, entry_bytes=200)
+KEY = ("hold", "s1")
+
+# The algebra, of all that writes and merges can bring about
+
+BODIES = {
+    "hold": [{"held": True}, {"held": False}],
+    "quota": [{"factor": 0.5}, {"factor": 2}],
+    "stop": [{"stopped": True, "return_ms": 9}, {"stopped": False}],
+    "note": [{"text": "x"}, {"text": "y"}],
+}
+STEPS = st.lists(
+    st.tuples(st.integers(0, 2), st.integers(0, 3), st.booleans(), st.integers(0, 2)), min_size=1, max_size=9
+)
+
+
+def brought_about(kind, steps):
+    """Three copies of one key, after writes here and words from there."""
+    copies, count = [Entry()] * 3, 0
+    for i, what, deleted, other in steps:
+        if what == 3:
+            copies[i] = merge(copies[i], copies[other])
+        else:
+            count += 1
+            body = checked(kind, BODIES[kind][what % 2])
+            lasts = float("inf") if what else 50.0
+            version = Version(
+                (("abc"[i], 1), count), float(count), 7 * what + count, body, "", "", lasts, deleted
+            )
+            copies[i] = written(copies[i], version)
+    return copies
+
+
+@pytest.mark.parametrize("kind", TABLE)
+@play
+@given(steps=STEPS)
+def test_merge_is_commutative_associative_and_idempotent_and_all_choose_the_same(kind, steps):
+    a, b, c = brought_about(kind, steps)
+    assert merge(a, b) == merge(b, a)
+    assert merge(a, merge(b, c)) == merge(merge(a, b), c)
+    assert merge(a, a) == a and merge(merge(a, b), b) == merge(a, b)
+    assert winner(kind, merge(a, b), 40.0) == winner(kind, merge(b, a), 40.0)
+
+
+def both(kind, one, other, later_wins=True):
+    versions = [
+        Version((("ab"[i], 1), 1), 0.0, i, checked(kind, body), "", "", *more)
+        for i, (body, *more) in enumerate((one, other))
+    ]
+    entries = [Entry((one,), (Seen(one.dot[0], 1, 0.0),)) for one in versions]
+    order = ordered(kind, merge(*entries), 10.0)
+    assert len(order) == 2
+    return order[0].dot[0][0]
+
+
+@pytest.mark.parametrize(
+    ("kind", "strict", "mild"),
+    [
+        ("hold", ({"held": True},), ({"held": False},)),
+        ("hold", ({"held": True},), ({"held": False}, float("inf"), True)),
+        ("hold", ({"held": False},), ({"held": True}, 5.0)),  # over by then
+        ("quota", ({"factor": 0.2},), ({"factor": 0.5},)),
+        ("stop", ({"stopped": True},), ({"stopped": False},)),
+        ("stop", ({"stopped": True}, 900.0), ({"stopped": True}, 90.0)),
+    ],
+)
+def test_of_two_concurrent_writes_the_stricter_counts_whichever_is_newer(kind, strict, mild):
+    assert both(kind, strict, mild) == "a" and both(kind, mild, strict) == "b"
+
+
+def test_the_table_of_the_design_note_is_the_rule():
+    text = (Path(__file__).parents[1] / "docs/design/replication.md").read_text()
+    rows = {
+        row[0]: tuple(row[1:])
+        for row in (re.findall(r"[^|]+", line) for line in text.splitlines() if line.startswith("| `"))
+        for row in [[cell.strip().strip("`") for cell in row]]
+    }
+    assert rows == {one.name: (one.fields, one.rule, one.before) for one in TABLE.values()}
+
+
+@pytest.mark.parametrize(
+    ("kind", "body", "says"),
+    [
+        ("hold", {"held": 1}, "true or false"),
+        ("hold", {"held": True, "x": 1}, "unknown field x"),
+        ("quota", {"factor": True}, "from 0 to 10"),
+        ("quota", {"factor": 11}, "from 0 to 10"),
+        ("note", {"text": ""}, "not empty"),
+        ("stop", {"stopped": True, "return_ms": -1}, "from 0"),
+        ("list", {}, "unknown type list; allowed: hold, quota, stop, note"),
+    ],
+)
+def test_a_bad_body_is_refused_in_a_line(kind, body, says):
+    with pytest.raises(Refused, match=says) as told:
+        checked(kind, body)
+    assert "\n" not in str(told.value)
+
+
+# Every interleaving
+
+
+@pytest.mark.parametrize(
+    ("size", "left", "written", "states"),
+    [
+        (3, {"writes": 2, "deletes": 1}, False, 500),
+        (3, {"deletes": 1, "asks": 1, "ticks": 2}, True, 300),
+        (2, {"writes": 2, "deletes": 1, "asks": 1}, False, 900),
+        (2, {"writes": 1, "asks": 2, "restarts": 1, "losses": 1}, False, 300),
+    ],
+)
+def test_copies_come_to_be_the_same_and_nothing_is_lost_or_returns(size, left, written, states):
+    """The longer searches are a command: benchmarks/copies_search.py."""
+    found = explore(Copies.begin(size, Left(**NONE | left), written=written))
+    assert found.whole and not found.broken, (found.broken, found.story)
+    assert found.states > states
+
+
+# What has to happen for a defect to show, where two writes, a deletion and a call do not do.
+SHOWN = {
+    "DeletionForgottenEarly": (2, False, {"writes": 1, "deletes": 1, "doubles": 1, "ticks": 2}),
+    "SliceTakenTwiceCounts": (2, True, {"asks": 1, "doubles": 1, "restarts": 1}),
+    "DotReused": (2, False, {"writes": 2, "asks": 2, "restarts": 1}),
+    "ReturnedBelieved": (2, True, {"deletes": 1, "ticks": 2}),
+    "KeptByTheReturned": (2, True, {"deletes": 1, "ticks": 2, "asks": 2}),
+    "WholeFromPart": (2, True, {"asks": 2, "restarts": 1}),
+    "AnySourceWillDo": (2, True, {"asks": 2, "restarts": 2}),
+    "FirstSliceIsAll": (2, True, {"asks": 1, "restarts": 1}),
+}
+
+
+@pytest.mark.parametrize("defect", COPYING, ids=lambda defect: defect.__name__)
+def test_each_planted_defect_is_found_with_its_story(defect):
+    size, written, left = SHOWN.get(defect.__name__, (2, False, {"writes": 2, "deletes": 1, "asks": 1}))
+    start = Copies.begin(size, Left(**NONE | left), defect, written)
+    found = explore(start)
+    assert defect.__doc__ and found.broken and found.story, (defect.__doc__, found.states)
+
+
+# Clause by clause
+
+
+def copy(name="a", life=1, now=0.0, **more):
+    return Copy((name, life), LIMITS, now, **more)
+
+
+def pull(one, other, now):
+    """All of `other`, as if their clocks were one."""
+    while not one.take(now, other.me, other.answer(one.ask(other.me), most=1)):
+        pass
+
+
+def test_a_release_that_has_seen_the_hold_ends_it_and_one_that_has_not_is_a_conflict_of_both():
+    a, b = copy("a"), copy("b")
+    a.write(0.0, KEY, checked("hold", {"held": True}), "ann", "disk")
+    b.hear(1.0, KEY, a.entries[KEY])
+    b.write(2.0, KEY, checked("hold", {"held": False}), "bob", "well", deleted=True)
+    a.write(2.0, KEY, checked("hold", {"held": True}), "ann", "again")
+    a.hear(3.0, KEY, b.entries[KEY])
+    assert a.holding(KEY, 3.0).why == "again" and len(a.entries[KEY].versions) == 2
+    assert a.counts["conflicts"] == 1 and list(a.conflicts()) == [KEY]
+    a.write(4.0, KEY, checked("hold", {"held": False}), "ann", "seen both", deleted=True)
+    b.hear(5.0, KEY, a.entries[KEY])
+    assert b.holding(KEY, 5.0) is None and not list(b.conflicts())
+
+
+def test_what_is_beyond_a_bound_is_refused_to_its_writer_and_nothing_is_written():
+    a = copy()
+    with pytest.raises(Refused, match=r"bytes are over entry_bytes of 200"):
+        a.write(0.0, KEY, b"x" * 200, "", "")
+    with pytest.raises(Refused, match="longer than 0 ms"):
+        a.write(0.0, KEY, b"", "", "", lasts=0.0)
+    for i in range(50):
+        a.write(0.0, ("note", str(i)), b"", "", "")
+    with pytest.raises(Refused, match="allowed: 50"):
+        a.write(0.0, ("note", "more"), b"", "", "")
+    a.write(0.0, ("note", "7"), b"", "", "", deleted=True)
+    assert len(a.entries) == 50
+
+
+def test_a_deletion_is_forgotten_in_time_and_one_that_was_away_for_ever_ends_its_own():
+    a, b = copy("a"), copy("b")
+    a.begin(), b.begin()
+    a.write(0.0, KEY, b"", "", "")
+    pull(b, a, 1.0)
+    a.write(2.0, KEY, b"", "", "", deleted=True)
+    a.write(3.0, ("note", "x"), b"", "", "")
+    b.write(3.0, ("note", "y"), b"", "", "")
+    a.look(1e6)
+    assert KEY not in a.entries
+    pull(a, b, 1e6)
+    pull(b, a, 1e6)
+    assert a.holding(KEY, 1e6) is None and b.holding(KEY, 1e6) is None
+    assert b.holding(("note", "x"), 1e6) and a.holding(("note", "y"), 1e6) and a.root() == b.root()
+
+
+def test_emptiness_never_counts_and_the_state_is_had_only_from_one_that_has_it():
+    a, b, c = copy("a"), copy("b"), copy("c", now=400.0)
+    a.begin()
+    a.write(0.0, KEY, b"", "", "")
+    pull(c, b, 410.0)
+    assert c.standing is Standing.CATCHING
+    pull(a, c, 410.0)
+    assert a.holding(KEY, 410.0)
+    c.told_root(600.0, a.root(), caught=True)
+    c.look(1_000.0)
+    assert c.standing is Standing.CATCHING  # one that has caught up was heard
+    pull(c, a, 1_000.0)
+    assert c.standing is Standing.CAUGHT and c.holding(KEY, 1_000.0)
+    b.look(499.0)
+    assert b.standing is not Standing.CAUGHT
+    b.look(500.0)
+    assert b.standing is Standing.CAUGHT  # nobody was heard for the stated time
+
+
+def test_a_pass_whose_source_dies_goes_on_with_another_and_sends_nothing_twice():
+    a, b = copy("a"), copy("b")
+    a.begin(), b.begin()
+    for i in range(40):
+        a.write(0.0, ("note", str(i)), b"x", "", "")
+    pull(b, a, 1.0)
+    new = copy("c")
+    for _ in range(2):
+        new.take(2.0, a.me, a.answer(new.ask(a.me), most=500))
+    had = len(new.entries)
+    new.broke_off(a.me)
+    rest = b.answer(new.ask(b.me), most=1 << 20)
+    assert 0 < had < 40 and len(rest.entries) == 40 - had
+    assert new.take(3.0, b.me, rest) and new.root() == a.root() and new.standing is Standing.CAUGHT
+    assert not new.take(3.0, b.me, rest) and new.counts["slices_out_of_turn"] == 1
+
+
+def test_a_stamp_far_ahead_is_not_taken_and_not_believed_to_be_had():
+    told = []
+    hour = 3_600_000.0
+    a = copy("a", offset=1e12 + hour)
+    b = copy("b", offset=1e12, told=lambda event, **fields: told.append(event))
+    a.begin()
+    a.write(0.0, KEY, b"", "", "")
+    pull(b, a, 1.0)
+    assert not b.entries and b.counts["ahead"] == 1 and told == ["state_ahead", "state_caught_up"]
+    pull(a, b, 2.0)
+    assert a.holding(KEY, 2.0)
+    b.offset += hour
+    pull(b, a, 3.0)
+    assert b.holding(KEY, 3.0)  # once the clocks are right
+
+
+def test_a_type_that_is_not_known_is_kept_and_passed_on_untouched():
+    a, b, c = copy("a"), copy("b"), copy("c")
+    a.write(0.0, ("later", "x"), b"\xc1 not read here", "", "")
+    pull(b, a, 1.0)
+    pull(c, b, 2.0)
+    assert c.entries[("later", "x")] == a.entries[("later", "x")]
+
+
+def test_digests_are_the_same_for_copies_that_hold_the_same_and_differ_where_one_has_ended_it():
+    a, b = copy("a"), copy("b")
+    a.write(0.0, KEY, b"", "", "")
+    pull(b, a, 1.0)
+    assert a.root() == b.root()
+    b.write(2.0, KEY, b"", "", "", deleted=True)
+    assert a.root() != b.root() and sum(x != y for x, y in zip(a.digests, b.digests, strict=True)) == 1
