Hold operators' state on all nodes: the table [state], its topic, routes and `flintridge state`

Need: a hold or a lowered quota must be said once, to any node, reach all within the 2 s of a drain, and be there again on a node that restarts in the middle of trouble.

Ruled out: telling every node of every write (bytes grow with the fleet: six are told, who pass it on, and comparison brings the rest); digests in datagrams of their own (8 bytes ride on the probes); holds in the policy (the driver of the list tells a held server as one that drains; decide.py has no line of it, and nothing is ever added to the list).

`mn` is answered once the node has caught up, or after wait_ms where nobody who has is heard. Off, and not imported, without the table.

--- a/flintridge/cli/calls.py
+++ b/flintridge/cli/calls.py
@@ -11,7 +11,9 @@
 LONGEST = 16 * 1024 * 1024  # bytes of an answer
 
 
-def call(address: str, path: str, method: str = "GET") -> tuple[int, dict[str, Any]]:
+def call(
+    address: str, path: str, method: str = "GET", body: dict[str, Any] | None = None
+) -> tuple[int, dict[str, Any]]:
     """The status and the answer's fields. Raises Wrong where nobody answers, or something else."""
     try:
         place = Address.parse(address)
@@ -19,7 +21,7 @@
         raise Wrong(f"--console: {error}") from error
     connection = http.client.HTTPConnection(place.host, place.port, timeout=WAIT_S)
     try:
-        connection.request(method, path)
+        connection.request(method, path, None if body is None else json.dumps(body).encode())
         answer = connection.getresponse()
         fields = json.loads(answer.read(LONGEST))
     except (OSError, http.client.HTTPException) as error:
--- a/flintridge/cli/main.py
+++ b/flintridge/cli/main.py
@@ -10,6 +10,7 @@
     "check": Lazy("flintridge.cli.check", "Tell every fault of a configuration or scenario file."),
     "lab": Lazy("flintridge.cli.lab", "Play days of a whole fleet round the real node, and judge them."),
     "peers": Lazy("flintridge.cli.peers", "Which other nodes a running node hears, and how well."),
+    "state": Lazy("flintridge.cli.state", "Holds, quotas, stops and notes that all nodes hold."),
     "budgets": Lazy("flintridge.cli.budgets", "What a running node holds of the fleet's budgets, and lends."),
     "ring": Lazy("flintridge.cli.ring", "Who holds which keys, what a change moves, why a key goes where."),
     "completion": Lazy("flintridge.cli.completion", "Print the completion script of a shell."),
--- a/flintridge/config/build.py
+++ b/flintridge/config/build.py
@@ -17,6 +17,7 @@
     ConfigError,
     NodeConfig,
     PeersConfig,
+    StateConfig,
     optional_address,
 )
 
@@ -73,6 +74,7 @@
         console=console,
         peers=peers,
         budgets=None if held.budgets is None else BudgetsConfig(**msgspec.structs.asdict(held.budgets)),
+        state=None if held.state is None else StateConfig(**msgspec.structs.asdict(held.state)),
     )
 
 
--- a/flintridge/config/contradictions.py
+++ b/flintridge/config/contradictions.py
@@ -29,6 +29,8 @@
         yield from _peers(file)
     if given(file.budgets) and file.budgets is not None:
         yield from _budgets(file)
+    if given(file.state) and file.state is not None:
+        yield from _state(file)
     if given(file.known) and file.known and given(file.known.members):
         yield from twice(file.known.members, "known.members", "id")
         yield from addresses(file.known.members, "known.members")
@@ -168,6 +170,29 @@
         yield from all_parts(file, file.name)
 
 
+RANGES = 256  # that keys are cut into, as in flintridge/replica/copy.py
+RANGE_S = 4.0  # in which one of them, full, must go through an exchange: it may last 10 s
+
+
+def _state(file: NodeFile) -> Iterator[Fault]:
+    state, peers = file.state, file.peers
+    assert state is not None
+    if peers is None:
+        allowed = "only beside a table [peers]"
+        yield fault("state", NOTHING, f"is allowed {allowed}: it is held by nodes that are heard", allowed)
+    if not given(peers) or peers is None or not given(peers.bytes_per_s):
+        return
+    if given(state.bytes_per_s) and state.bytes_per_s > (most := OF_PEERS_BYTES * peers.bytes_per_s):
+        allowed = f"at most {most:g}, a quarter of peers.bytes_per_s"
+        yield fault("state.bytes_per_s", state.bytes_per_s, f"must be {allowed}", allowed)
+    if given(state.entries, state.entry_bytes):
+        most_entries = int(RANGE_S * peers.bytes_per_s / 2 * RANGES / state.entry_bytes)
+        if state.entries > most_entries:
+            allowed = f"at most {most_entries}, by state.entry_bytes and peers.bytes_per_s"
+            reason = f"must be {allowed}: more could not be caught up with in time"
+            yield fault("state.entries", state.entries, reason, allowed)
+
+
 def all_parts(file: NodeFile, name: str) -> Iterator[Fault]:
     """The even parts of all names, of this node's own `name` too, are the whole budget."""
     if file.peers is None or not given(file.fleet_size, file.peers.known):
--- a/flintridge/config/model.py
+++ b/flintridge/config/model.py
@@ -153,6 +153,16 @@
     bytes_per_s: Annotated[float, Meta(ge=200, le=2.5e6, description="bytes, of those of peers")] = 2000.0
 
 
+class State(Part, kw_only=True, frozen=True):
+    """What operators tell one node and all hold. Without this table a node holds none of it."""
+
+    entries: Annotated[int, Meta(ge=1, le=100_000)] = 10_000  # those of remembered deletions included
+    entry_bytes: Annotated[int, Meta(ge=64, le=4096, description="bytes, of an entry")] = 512
+    remember_s: Annotated[float, Meta(ge=1, le=2.6e6, description="seconds, of deletions")] = 3_600.0
+    wait_ms: Annotated[float, Meta(ge=0, le=600_000, description="milliseconds, at the start")] = 10_000.0
+    bytes_per_s: Annotated[float, Meta(ge=200, le=2.5e6, description="bytes, of those of peers")] = 2000.0
+
+
 class NodeFile(Part, kw_only=True, frozen=True):
     """A node. `listen`, `discovery` and `console` may be left to PROXY_LISTEN and so on."""
 
@@ -182,4 +192,5 @@
     log: LogPart = LogPart()
     peers: Peers | None = None
     budgets: Budgets | None = None
+    state: State | None = None
     known: Known | None = None
--- a/flintridge/fronts/console.py
+++ b/flintridge/fronts/console.py
@@ -4,21 +4,31 @@
     POST /admin/quiesce    end the service, not the process
     POST /admin/resume     serve again
 
-Bodies are JSON objects that tell the state.
+Bodies are JSON objects that tell the state. Those of calls are read past, but for the routes that take one.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import h11
 import orjson
 
 MAX_HEAD = 8 * 1024
-MAX_BODY = 64 * 1024  # of a call; nothing of it is used
+MAX_BODY = 64 * 1024  # of a call
 
 # What answers a call: an HTTP status and the body's fields.
 Said = tuple[int, dict[str, Any]]
-Routes = dict[bytes, dict[bytes, Callable[[], Said]]]
+
+
+@dataclass(slots=True, frozen=True)
+class Taking:
+    """A route that is given the call's query and body, which may be empty."""
+
+    call: Callable[[bytes, bytes], Said]
+
+
+Routes = dict[bytes, dict[bytes, Callable[[], Said] | Taking]]
 
 
 class ConsoleExchange:
@@ -30,6 +40,8 @@
         self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self._call: h11.Request | None = None
         self._size = 0
+        self._body = bytearray()  # of a route that takes it
+        self._takes = False
         self.answered = False
 
     def feed(self, data: bytes) -> list[bytes] | None:
@@ -44,10 +56,14 @@
                     return None
                 if isinstance(event, h11.Request):
                     self._call = event
+                    path = event.target.partition(b"?")[0]
+                    self._takes = isinstance(self._routes.get(path, {}).get(event.method), Taking)
                 elif isinstance(event, h11.Data):
                     self._size += len(event.data)
                     if self._size > MAX_BODY:
                         return self._answer(413, {"error": f"a body over {MAX_BODY} bytes"})
+                    if self._takes:
+                        self._body += event.data
                 elif isinstance(event, h11.EndOfMessage):
                     return self._carry_out()
         except h11.RemoteProtocolError as error:
@@ -60,14 +76,14 @@
 
     def _carry_out(self) -> list[bytes]:
         assert self._call is not None
-        path = self._call.target.partition(b"?")[0]
+        path, _, query = self._call.target.partition(b"?")
         methods = self._routes.get(path)
         if methods is None:
             return self._answer(404, {"error": "no such path", "paths": [p.decode() for p in self._routes]})
         if (call := methods.get(self._call.method)) is None:
             allowed = b", ".join(methods)
             return self._answer(405, {"error": f"only {allowed.decode()}"}, [(b"Allow", allowed)])
-        return self._answer(*call())
+        return self._answer(*(call.call(query, bytes(self._body)) if isinstance(call, Taking) else call()))
 
     def _answer(
         self, status: int, said: dict[str, Any], more: list[tuple[bytes, bytes]] | None = None
--- a/flintridge/lab/explore/copies.py
+++ b/flintridge/lab/explore/copies.py
@@ -13,7 +13,7 @@
 from flintridge.replica.copy import Copy, Limits, Slice, Standing
 from flintridge.replica.entry import Dot, Entry, Key, Writer, counts
 
-KEY: Key = ("hold", "a")  # in the second bucket, so that a pass has two slices
+KEY: Key = ("hold", "g")  # in the second bucket, so that a pass has two slices
 LIMITS = Limits(remember=1.5, wait=float("inf"), buckets=2)
 START = 100.0
 Known = frozenset[Dot]
--- a/flintridge/lab/partial/peernet.py
+++ b/flintridge/lab/partial/peernet.py
@@ -32,6 +32,7 @@
         # Mistakes of whoever configures nodes, made before a start: another address for a peer, another name.
         self.addresses: dict[tuple[str, str], tuple[str, int]] = {}
         self.renamed: dict[str, str] = {}
+        self.tables: dict[str, Any] = {}  # that stand in each node's configuration beside [peers]
         self._tasks: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
@@ -71,22 +72,25 @@
             "bytes_per_s": self._part.bytes_per_s,
             **({"key_file": self._key_file} if self._part.sealed else {}),
         }
-        return made
+        return made | self.tables
 
     def _peer(self, node: str, other: str) -> tuple[str, int]:
         return self.addresses.get((node, other)) or self._fabric.address(f"peer-{other}", node)
 
-    async def ask(self, node: str, path: str = "/admin/peers", method: str = "GET") -> dict[str, Any] | None:
+    async def ask(
+        self, node: str, path: str = "/admin/peers", method: str = "GET", body: bytes = b""
+    ) -> dict[str, Any] | None:
         """What the console of a node says; None where it says nothing in time."""
         try:
-            return await asyncio.wait_for(self._ask(node, path, method), CALL_S)
+            return await asyncio.wait_for(self._ask(node, path, method, body), CALL_S)
         except (OSError, TimeoutError, ValueError):
             return None
 
-    async def _ask(self, node: str, path: str, method: str) -> dict[str, Any]:
+    async def _ask(self, node: str, path: str, method: str, body: bytes) -> dict[str, Any]:
         reader, writer = await asyncio.open_connection(*self.console(node))
         try:
-            writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\n\r\n".encode())
+            length = f"Content-Length: {len(body)}\r\n" if body else ""
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\n{length}\r\n".encode() + body)
             answer = await reader.read(-1)
         finally:
             writer.close()
--- a/flintridge/lab/partial/rig.py
+++ b/flintridge/lab/partial/rig.py
@@ -38,8 +38,15 @@
 class Rig:
     """`count` nodes n0, n1 ... as processes; leave the block and nothing of them is left."""
 
-    def __init__(self, count: int, seed: int = 1, scenario: Scenario | None = None) -> None:
-        """`scenario`: the day's world, where a test needs another one than the usual of the lab."""
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        scenario: Scenario | None = None,
+        tables: dict[str, Any] | None = None,
+    ) -> None:
+        """`scenario`: the day's world, where a test needs another one than the usual of the lab. `tables`:
+        what stands in each node's configuration beside [peers]."""
         self.scenario = scenario or Scenario(
             name="rig", nodes=Nodes(count=count), peers=Peers(), load=Load(rate_per_s=1.0), length_s=3600.0,
             classes=(RequestClass(name="read"),),
@@ -47,6 +54,7 @@
         self.names = tuple(f"n{i}" for i in range(count))
         self.log = Log()
         self._seed = seed
+        self._tables = tables or {}
 
     async def __aenter__(self) -> "Rig":
         raise_descriptor_limit()
@@ -57,6 +65,7 @@
         self.nodes = process_nodes(self.fabric, self.log, self.scenario, self.world)
         assert self.nodes.peers is not None
         self.net = self.nodes.peers
+        self.net.tables = self._tables
         try:
             await self.world.open()
             for name in self.names:
@@ -149,9 +158,9 @@
             await asyncio.sleep(LOOK_S)
 
     async def console(
-        self, node: str, path: str = "/admin/peers", method: str = "GET"
+        self, node: str, path: str = "/admin/peers", method: str = "GET", body: bytes = b""
     ) -> dict[str, Any] | None:
-        return await self.net.ask(node, path, method)
+        return await self.net.ask(node, path, method, body)
 
     async def told(self, node: str, holds: Callable[[dict[str, int]], bool]) -> None:
         """Wait until that holds of the counts on a node's console. Raises TimeoutError."""
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Callable
 
 from flintridge.api import Settings
 from flintridge.drain import Drain
@@ -369,12 +370,14 @@
         # A dict, not a set: it is walked in the order of arrival, and two nodes given the same do the same.
         self._connections: dict[SenderConnection, None] = {}
         self._partings = 0
+        self.ready: Callable[[], bool] = lambda: True  # what else has to be, before `mn` is answered
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
     @property
     def serving(self) -> bool:
-        """Whether this process can serve: it listens, and knows servers in service."""
-        return self._listening is not None and self._listening.open and self._transports.serving
+        """Whether this process can serve: it listens, knows servers in service, and is `ready`."""
+        listening = self._listening is not None and self._listening.open
+        return listening and self._transports.serving and self.ready()
 
     @property
     def hello(self) -> bytes:
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import h11
@@ -112,6 +112,43 @@
         return Member(server, state, weight, int(entry.get("cell") or 0), kind, started, zone), transport
 
 
+class Holds:
+    """The own list, with holds laid over it: a server that is held out is told of as one that drains.
+
+    Only what the list names is ever told; whatever is held, no server comes in by it.
+    """
+
+    def __init__(self, tell: Callable[[MemberList], None]) -> None:
+        self._tell = tell
+        self._listed: dict[str, Member] = {}
+        self._version = 0
+        self.held: frozenset[str] = frozenset()
+
+    def told(self, members: MemberList) -> None:
+        """The list, or a change of it."""
+        if members.kind is not ListKind.FAILED:
+            if members.kind is not ListKind.DELTA:
+                self._listed.clear()
+            self._version = members.version
+            for member in members.members:
+                self._listed[member.server] = member
+                if member.state is MemberState.GONE:
+                    del self._listed[member.server]
+        self._tell(replace(members, members=tuple(map(self._laid, members.members))))
+
+    def hold(self, held: frozenset[str]) -> None:
+        """From now on these are held out."""
+        changed = [one for server, one in self._listed.items() if (server in held) != (server in self.held)]
+        self.held = held
+        if changed:
+            self._tell(MemberList(ListKind.DELTA, self._version, tuple(map(self._laid, changed))))
+
+    def _laid(self, member: Member) -> Member:
+        if member.server in self.held and member.state is MemberState.READY:
+            return replace(member, state=MemberState.DRAINING)
+        return member
+
+
 class TransportWatch:
     """Asks discovery; each call's failure is told as such, and when to ask again is the module's decision."""
 
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, fields, replace
 from typing import TYPE_CHECKING
 
+from flintridge.api import MemberList
 from flintridge.decide import QUOTA_SLACK, Balancer
 from flintridge.drain import Drain, State
 from flintridge.net.clock import Clock
@@ -20,7 +21,7 @@
 from flintridge.net.log import EventLog
 from flintridge.net.sender import SenderSide
 from flintridge.net.siblings import Siblings
-from flintridge.net.transport_map import TransportMap, TransportWatch, known_list
+from flintridge.net.transport_map import Holds, TransportMap, TransportWatch, known_list
 from flintridge.settings import LONGEST_MB, NodeConfig
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
     from flintridge.net.budgets import Budgets
     from flintridge.net.console import Console
     from flintridge.net.peers import Peers
+    from flintridge.net.replica import Replica
 
 CHANGEABLE = ("discovery", "sockets", "memory_mb")  # without a restart
 
@@ -81,8 +83,12 @@
             self.counters,
             self.core.begins,
         )
+        self._list_told: Callable[[MemberList], None] = self.core.told
+        if config.state is not None:
+            self._holds = Holds(self.core.told)
+            self._list_told = self._holds.told
         self.watch = TransportWatch(
-            config.discovery, self.transports, clock, self.core.told, log, self.counters
+            config.discovery, self.transports, clock, self._list_told, log, self.counters
         )
         self.core.attach(self.delivery, self.watch)
         self.drain = Drain()
@@ -106,6 +112,14 @@
             self.budgets = Budgets(
                 config.budgets, settings, even, self.peers, self.core, clock, log, self.counters, entropy
             )
+        self.replica: Replica | None = None
+        if config.state is not None and self.peers is not None:
+            from flintridge.net.replica import Replica  # not held by a node that holds no state
+
+            self.replica = Replica(
+                config.state, self.peers, clock, log, self.counters, entropy, self._holds.hold
+            )
+            self.side.ready = self.replica.caught_up
         self._closed = False
         listen = config.listen
         self._siblings: Siblings | None = None
@@ -131,7 +145,9 @@
             self._siblings.start()
         if self.budgets is not None:
             self.budgets.start()  # before the first request: a process that just began holds its floor alone
-        self.core.told(self._known)
+        if self.replica is not None:
+            self.replica.start()
+        self._list_told(self._known)
         listen = self.config.listen
         port = await self.side.listen(listen)
         self.log.event("serving", host=listen.host, port=port, members=len(self._known.members))
@@ -181,6 +197,7 @@
             b"/admin/resume": {b"POST": self._resume},
             **({} if self.peers is None else {b"/admin/peers": {b"GET": self.peers.said}}),
             **({} if self.budgets is None else {b"/admin/budgets": {b"GET": self.budgets.said}}),
+            **({} if self.replica is None else self.replica.routes()),
         }
 
     @property
@@ -242,6 +259,8 @@
             self.peers.tell_counters()
         if self.budgets is not None:
             self.budgets.tell_counters()
+        if self.replica is not None:
+            self.replica.tell_counters()
         self.log.event("counters", **self.counters.snapshot())
         if histograms := self.counters.histograms():
             self.log.event("histograms", **histograms)
@@ -258,6 +277,8 @@
             self._siblings.close()
         if self.budgets is not None:
             self.budgets.close()
+        if self.replica is not None:
+            await self.replica.close()
         if self.peers is not None:
             await self.peers.close()
         await self.watch.close()
--- a/flintridge/replica/copy.py
+++ b/flintridge/replica/copy.py
@@ -72,7 +72,9 @@
 
 
 def _hash(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8, person=b"flintridge-copy").digest())
+    """63 bits, as a word has place for."""
+    made = hashlib.blake2b(text.encode(), digest_size=8, person=b"flintridge-copy").digest()
+    return int.from_bytes(made) >> 1
 
 
 class Copy:
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -178,6 +178,17 @@
     bytes_per_s: float = 2_000.0  # of what is said of budgets; a part of what [peers] allows
 
 
+@dataclass(slots=True, frozen=True)
+class StateConfig:
+    """What a node holds of the fleet's state; only in the node's own format."""
+
+    entries: int = 10_000  # those of remembered deletions included
+    entry_bytes: int = 512
+    remember_s: float = 3_600.0  # deletions, at the least
+    wait_ms: float = 10_000.0  # for a peer that has caught up, before `mn` is answered without one
+    bytes_per_s: float = 2_000.0  # of what is told in datagrams; a part of what [peers] allows
+
+
 @dataclass(slots=True, frozen=True)
 class NodeConfig:
     """What a real node is told at its start."""
@@ -197,6 +208,7 @@
     console: Address | None = None  # for operators; None: no such address
     peers: PeersConfig | None = None  # None: this node hears no other, and holds nothing of that part
     budgets: BudgetsConfig | None = None  # None: an even part of each, as without peers
+    state: StateConfig | None = None  # None: nothing is held that others were told
 
     @property
     def client_sockets(self) -> int:
