--- a/flintridge/lab/explore/copies.py
+++ b/flintridge/lab/explore/copies.py
@@ -8,7 +8,7 @@
 import itertools
 from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, replace
-from typing import Self
+from typing import NamedTuple, Self
 
 from flintridge.replica.copy import Copy, Limits, Slice, Standing
 from flintridge.replica.entry import Dot, Entry, Key, Writer, counts
@@ -31,6 +31,7 @@
     restarts: int = 0
     cuts: int = 0
     ticks: int = 0
+    says: int = 0  # what a copy says of itself, as it rides on every datagram
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,12 +47,18 @@
     begun: tuple[tuple[Writer, Known, bool], ...] = ()  # at the start of a pass: what its source knew
 
 
+class Root(NamedTuple):
+    root: int
+    caught: bool
+    own: int
+
+
 @dataclass(slots=True, frozen=True)
 class Flying:
     to: int
     source: Writer
     known: Known
-    word: Entry | Slice
+    word: Entry | Slice | Root
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,6 +114,8 @@
             if left.cuts and self.cut < 0:
                 yield f"{name} is cut off", replace(self, cut=i, left=self._spend(cuts=-1))
             for j, other in enumerate(self.processes):
+                if i != j and left.says and self._linked(i, j):
+                    yield f"{name} says what it is to {other.copy.me[0]}", self._say(i, j)
                 busy = any(isinstance(one.word, Slice) and one.to == i for one in self.flying)
                 if i != j and left.asks and self._linked(i, j) and not busy:
                     yield f"{name} asks {other.copy.me[0]}", self._ask(i, j)
@@ -163,6 +172,13 @@
         world = self._with(i, replace(process, copy=made, begun=begun))
         return replace(world, flying=(*self.flying, word), left=self._spend(asks=-1))
 
+    def _say(self, i: int, j: int) -> Self:
+        process = self.processes[i]
+        made = process.copy
+        word = Root(made.root(), made.standing is Standing.CAUGHT, made.own)
+        flying = (*self.flying, Flying(j, made.me, process.known, word))
+        return replace(self, flying=flying, left=self._spend(says=-1))
+
     def _arrives(self, word: Flying) -> Self:
         process = self.processes[word.to]
         made = process.copy.twin()
@@ -170,6 +186,10 @@
         if isinstance(word.word, Entry):
             made.hear(self.now, KEY, word.word)
             known |= word.known
+        elif isinstance(word.word, Root):
+            if made.root() == word.word.root:
+                known |= word.known
+            made.told_root(self.now, word.source, *word.word)
         else:
             turn = made.counts["slices_out_of_turn"]
             over = made.take(self.now, word.source, word.word)
@@ -237,6 +257,7 @@
                     pass
         due = self._due(frozenset().union(*(process.known for process in self.processes)))
         for one in copies:
+            one.look(self.now)  # one may remember what is over for longer than the others
             if (held := self._held(one)) != due:
                 return f"after all is well {one.me[0]} holds {sorted(held)} and not {sorted(due)}"
         return (
@@ -289,6 +310,9 @@
         word: object
         if isinstance(one.word, Entry):
             word = self._of_entry(one.word, called)
+        elif isinstance(one.word, Root):
+            same = [process.copy.root() == one.word.root for process in self.processes]
+            word = one.word, [same[j] for j in order]
         else:
             entries = [self._of_entry(entry, called) for _, entry in one.word.entries]
             whole = _dots(frozenset(one.word.whole), called)
--- a/flintridge/net/replica.py
+++ b/flintridge/net/replica.py
@@ -21,7 +21,7 @@
 from flintridge.net.peers import Peers
 from flintridge.net.peers import Refused as PeerRefused
 from flintridge.peers.wire import Dropped
-from flintridge.replica.copy import Copy, Limits, Standing
+from flintridge.replica.copy import SLICE, Copy, Limits, Standing
 from flintridge.replica.entry import Dot, Entry, Key, Version, Writer, counts, ordered
 from flintridge.replica.spread import Spread
 from flintridge.replica.types import TABLE, Body, Refused, checked, decode
@@ -29,7 +29,7 @@
 from flintridge.settings import StateConfig
 
 TICK = 50.0
-LOOKS = 2  # buckets a tick; all of them within seconds
+LOOKS = 8  # buckets a tick; all of them within two seconds
 PAGE = 100  # entries in an answer to staff
 FIELDS = ("type", "name", "bucket", "conflicts", "after", "digests", "entries")  # of a query
 SLICE_S = 2.0  # of the bytes a second that exchanges have, for a slice: it must be over within their time
@@ -74,9 +74,10 @@
         self._hold = hold
         self._held: frozenset[str] = frozenset()
         self._holds: set[str] = set()  # names of hold entries that may count
-        self._slice = int(peers.config.bytes_per_s / 2 * SLICE_S)
+        self._slice = min(SLICE, int(peers.config.bytes_per_s / 2 * SLICE_S))
         self._timer: Timer | None = None
         self._asking: asyncio.Task[None] | None = None
+        self._asked: Writer | None = None  # whom, while that goes on
         peers.presence.register(self.spread)
         peers.answer(self.spread.name, self._answer)
 
@@ -185,6 +186,7 @@
         """Until that one has told all that differs. What was taken stays, whatever happens."""
         copy, clock = self.copy, self._clock
         before = copy.root()
+        self._asked = source
         try:
             while True:
                 asked_at, ask = clock.now(), copy.ask(source)
@@ -206,6 +208,7 @@
             self._counters.add("state_comparisons_broken")
             self._log.event("state_broke_off", source=source[0], error=repr(error))
         finally:
+            self._asked = None
             copy.broke_off(source)
             self.spread.compared(clock.now(), source, copy.root() != before)
 
@@ -223,6 +226,7 @@
             "life": f"{self._peers.life:x}",
             "standing": copy.standing.name.lower(),
             "root": f"{copy.root():016x}",
+            "asking": None if self._asked is None else self._asked[0],
             "entries": len(copy.entries),
             "of": self.config.entries,
             "conflicts": sum(1 for _ in copy.conflicts()),
--- a/flintridge/replica/copy.py
+++ b/flintridge/replica/copy.py
@@ -21,6 +21,7 @@
 SHIFT = 16  # bits of a stamp below its milliseconds
 SLICE = 16 * 1024  # bytes of entries in a slice, about; a bucket is never cut
 MOST_WRITERS = 4096  # lives that ever wrote
+PATIENCE = 6.0  # times `wait`, for one that has caught up and is heard, but gives nothing
 
 
 class Standing(IntEnum):
@@ -102,6 +103,7 @@
         self._told = told
         self._begun = now
         self._elder_at = -math.inf  # when one that has caught up was last heard
+        self._given_at = -math.inf  # when one gave something
         self._count = 0
         self._stamp = 0
         self._number = 0
@@ -154,7 +156,9 @@
             entry = Entry(tuple(one for one in entry.versions if one.dot not in ended), entry.seen)
         for one in entry.versions:
             self._stamp = max(self._stamp, one.stamp)
-        self._put(key, self._merged(mine, entry), now)
+        # Guards against memories that two copies hand one another for ever, each after it has forgotten them.
+        merged = self._merged(mine, entry)
+        self._put(key, self._remembered(merged, now - self.limits.remember), now)
         return True
 
     def _had(self, dot: Dot) -> bool:
@@ -191,10 +195,14 @@
         size = len(self._buckets)
         for _ in range(size if most is None else min(most, size)):
             for key in list(self._buckets[self._next_look]):
-                self._put(key, self._remembered(self.entries[key], now - self.limits.remember), now)
+                entry = self.entries[key]
+                if not entry.lasting:
+                    self._put(key, self._remembered(entry, now - self.limits.remember), now)
             self._next_look = (self._next_look + 1) % size
-        begun = max(self._begun, self._elder_at)
-        if self.standing is not Standing.CAUGHT and now - begun >= self.limits.wait:
+        begun, given = max(self._begun, self._elder_at), max(self._begun, self._given_at)
+        # Guards the service against one that is heard, but whose exchanges never come through.
+        late = now - begun >= self.limits.wait or now - given >= PATIENCE * self.limits.wait
+        if self.standing is not Standing.CAUGHT and late:
             self._told("state_alone", waited_ms=round(now - self._begun))
             self.begin()
 
@@ -223,12 +231,20 @@
             self._root = _hash(repr(self.digests))
         return self._root
 
-    def told_root(self, now: float, root: int, caught: bool) -> bool:
-        """What a copy said of itself. Whether it should be asked for what differs."""
+    def told_root(self, now: float, source: Writer, root: int, caught: bool, own: int) -> bool:
+        """What a copy said of itself, with how many writes of its own. Whether it should be asked."""
         if caught:
             self._elder_at = now
+        if own and root == self.root():
+            # It holds what is held here: each of its writes until then is here, or was ended.
+            self.whole[source] = max(own, self.whole.get(source, 0))
         return root != self.root() or (caught and self.standing is not Standing.CAUGHT)
 
+    @property
+    def own(self) -> int:
+        """How many writes this process has made."""
+        return self._count
+
     def ask(self, source: Writer) -> Ask:
         """The next call to that source: the pass goes on where it stands."""
         if self.standing is Standing.FRESH:
@@ -264,6 +280,8 @@
         if one is None or (got.number, got.first) != (one.number, one.cursor):
             self.counts["slices_out_of_turn"] += 1  # doubled, late, or of a pass that is given up
             return False
+        if got.caught:
+            self._elder_at = self._given_at = now
         self._end(now, got)
         taken = [self.hear(now, key, entry) for key, entry in got.entries]
         one = Pass(
--- a/flintridge/replica/entry.py
+++ b/flintridge/replica/entry.py
@@ -48,6 +48,13 @@
     versions: tuple[Version, ...] = ()
     seen: tuple[Seen, ...] = ()
 
+    @property
+    def lasting(self) -> bool:
+        """One version for ever, and nothing else to forget."""
+        if len(self.versions) != 1 or len(self.seen) != 1:
+            return False
+        return not self.versions[0].deleted and self.versions[0].lasts == math.inf
+
     def has_seen(self, dot: Dot) -> bool:
         return any(one.writer == dot[0] and one.upto >= dot[1] for one in self.seen)
 
--- a/flintridge/replica/spread.py
+++ b/flintridge/replica/spread.py
@@ -18,7 +18,8 @@
 FAN = 6  # lives that each process tells of what is new to it; the comparison brings it to those that are left
 AT_ONCE = 3  # of them without waiting for the next datagram
 HOT = 2_000.0  # ms for which it is new
-MOST_HOT = 1_000  # keys; beyond, the comparison does it
+MOST_HOT = 64  # keys; beyond, the comparison does it
+MISFITS = 4  # entries too long for a datagram that are looked at for each
 WAITED_FOR = 256  # newest writes of this process of which it is known who has them
 SETTLE = 1_500.0  # ms for which two copies differ before one asks: what is on its way comes meanwhile
 AGAIN = 10_000.0  # ms before one is asked again that had nothing new, as that may go on for long
@@ -76,6 +77,10 @@
         had = self._had.get(dot)
         return None if had is None else 1 + len(had)
 
+    def names_with(self, dot: Dot) -> frozenset[str]:
+        """The other nodes that are known to have that write of this process."""
+        return frozenset(self._had.get(dot, ()))
+
     def _changed(self, key: Key, entry: Entry) -> None:
         if len(self._hot) < MOST_HOT and entry.versions:
             self._hot[key] = Hot(self._now)
@@ -103,15 +108,19 @@
         entries: list[Held] = []
         told: list[Key] = []
         caught = copy.standing is Standing.CAUGHT
-        word = said(Said(copy.root(), caught, (), tuple(had)))
+        word = said(Said(copy.root(), caught, (), tuple(had), copy.own))
         if len(word) > room:
             return None
+        misfits = 0
         for key, hot in self._hot.items():
+            if misfits >= MISFITS:
+                break
             entry = copy.entries.get(key)
             if entry is None or peer in hot.told or len(hot.told) >= FAN:
                 continue
-            longer = said(Said(copy.root(), caught, (*entries, flat(key, entry, now)), tuple(had)))
+            longer = said(Said(copy.root(), caught, (*entries, flat(key, entry, now)), tuple(had), copy.own))
             if len(longer) > room:
+                misfits += 1
                 continue  # a long one goes with the next datagram, or by comparison
             entries.append(flat(key, entry, now))
             told.append(key)
@@ -145,7 +154,7 @@
                 had.add(name)
         other = self._others.setdefault(peer, Other(now, word.caught))
         other.at, other.caught = now, word.caught
-        if self.copy.told_root(now, word.root, word.caught):
+        if self.copy.told_root(now, peer, word.root, word.caught, word.own):
             other.differs = min(other.differs, now)
         else:
             other.differs = math.inf
@@ -180,7 +189,10 @@
         ]
         if not due:
             return None
-        first = [peer for peer in due if self._others[peer].caught] or due
+        first = [peer for peer in due if self._others[peer].caught]
+        if not first and self.copy.standing is Standing.CAUGHT:
+            return None  # what it holds half is what it takes from here just now; later it has caught up
+        first = first or due
         return self._rng.choice(sorted(first))
 
     def compared(self, now: float, peer: Writer, news: bool) -> None:
--- a/flintridge/replica/words.py
+++ b/flintridge/replica/words.py
@@ -14,8 +14,8 @@
 from flintridge.replica.entry import Entry, Key, Seen, Version, Writer
 
 PIECE = 24 * 1024  # bytes of entries in a piece of an exchange, about
-MOST_VERSIONS = 64
-MOST_SEEN = 256
+MOST_VERSIONS = 1024
+MOST_SEEN = 4096
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Text = Annotated[str, Meta(max_length=4096)]
@@ -55,6 +55,7 @@
     caught: bool
     entries: Annotated[tuple[Held, ...], Meta(max_length=64)] = ()
     had: Annotated[tuple[Number, ...], Meta(max_length=64)] = ()  # numbers of the hearer's own writes
+    own: Number = 0  # how many writes the speaker has made
 
 
 class Asked(msgspec.Struct, array_like=True, frozen=True, gc=False):
