--- a/flintridge/lab/partial/rig.py
+++ b/flintridge/lab/partial/rig.py
@@ -186,9 +186,9 @@
             await asyncio.sleep(LOOK_S)
 
     async def console(
-        self, node: str, path: str = "/admin/peers", method: str = "GET"
+        self, node: str, path: str = "/admin/peers", method: str = "GET", body: bytes = b""
     ) -> dict[str, Any] | None:
-        return await self.net.ask(node, path, method)
+        return await self.net.ask(node, path, method, body)
 
     async def told(self, node: str, holds: Callable[[dict[str, int]], bool]) -> None:
         """Wait until that holds of the counts on a node's console. Raises TimeoutError."""
