--- a/benchmarks/budget_process_days.py
+++ b/benchmarks/budget_process_days.py
@@ -97,8 +97,7 @@
     )
     for one in whole:
         for breach in one["breaches"]:
-            if breach["rule"] in ("quota_sum", "budget_sum"):
-                print(f"  seed {one['seed']}: {breach['text']}")
+            print(f"  seed {one['seed']}, {breach['rule']}: {breach['text']}")
     for one in failed[:5]:
         print(f"  seed {one['seed']}: {one.get('not_played') or one['ended']}")
     sys.exit(bool(rules["quota_sum"] or rules["budget_sum"] or failed))
