Benchmarks of what budgets cost, of nodes that go and of cold servers

The issue asks what lending costs, what comes back when half of the nodes go, and what cold servers get; nothing measured that. Result: three scripts.

--- /dev/null
+++ b/benchmarks/budgets_cold.py
@@ -0,0 +1,184 @@
+"""Cold servers in a large fleet: the work there, and who walks on, by chance and with parts lent.
+
+    python -m benchmarks.budgets_cold [--nodes 60] [--servers 60] [--replaced 12] [--seeds 2] [--jobs 2]
+                                      [--skews 0,0.4] [--rate 600] [--quota 0] [--json FILE]
+
+A day of 13 s in virtual time after 9 s of warm-up; so many servers are replaced by new ones, which are cold
+for 9 s, at 2 s. `off`: each node keeps within its even part; `cold`: nodes lend parts of it. `--quota` over
+all nodes, in requests a second: 0 for none. `--skews`: of the traffic, what the first of two zones gets
+beyond its half.
+
+`used`: mean over the servers' six rule windows of the work that came, of the budget of rule 4 at the window's
+end; `most`: the greatest of any server and window that ends with an attempt. `met`: requests that came to a
+cold server on their walk; `walked`: the part of them that its budget sent on, at any time. `missed`: attempts
+at caches that found nothing, of all; `origin`: fetches there for each request; `borrowed`: even parts a node,
+the mean of all looks from 2 s on.
+"""
+
+import argparse
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import orjson
+from msgspec.structs import replace
+
+from flintridge import decide
+from flintridge.lab.experiment.stats import mean
+from flintridge.lab.judge.facts import Day, Sent
+from flintridge.lab.judge.rules.fleet import _windows, capacity
+from flintridge.lab.records import Held, read
+from flintridge.lab.run import play
+from flintridge.lab.scenario.load import load
+from flintridge.lab.scenario.model import Replace, Scenario, Tenant
+
+MODES = {"off": [], "cold": ["peers={}", "budgets={cold=true}"]}
+AT_S, LENGTH_S, WARMUP_S, WORK_MS = 2.0, 13.0, 9.0, 60.0
+FIGURES = (
+    "fallen",
+    "rule",
+    "used",
+    "most",
+    "met",
+    "walked",
+    "missed",
+    "origin",
+    "goodput",
+    "p99",
+    "borrowed",
+)
+
+
+def scenario_of(args: dict[str, Any], mode: str, skew: float) -> Scenario:
+    """The day of that size."""
+    day = load("uneven", [f"load.zone_skew={skew}", f"load.rate_per_s={args['rate']}", *MODES[mode]])
+    return replace(
+        day,
+        length_s=LENGTH_S,
+        warmup_s=WARMUP_S,
+        nodes=replace(day.nodes, count=args["nodes"]),
+        servers=(replace(day.servers[0], count=args["servers"]),),
+        classes=(replace(day.classes[0], work_ms=WORK_MS, aim_ms=600.0, deadline_ms=2000.0),),
+        tenants=(Tenant(name="all", quota_per_s=args["quota"]),),
+        faults=(Replace(at_s=AT_S, for_s=0.5, count=args["replaced"]),),
+        wall_limit_s=3000.0,
+    )
+
+
+class Walks:
+    """Counts at the decisions where a cold server's budget sent a request on. It changes none of them."""
+
+    def __init__(self) -> None:
+        self.met: set[str] = set()
+        self.walked: set[str] = set()
+        asked = decide.Balancer.cold_room
+
+        def cold_room(module: decide.Balancer, server: decide.Server, request: decide.Held) -> bool:
+            free = asked(module, server, request)
+            if module.warmth(server) < 1:
+                self.met.add(request.event.id)
+                if not free:
+                    self.walked.add(request.event.id)
+            return free
+
+        self._undo = lambda: setattr(decide.Balancer, "cold_room", asked)
+        setattr(decide.Balancer, "cold_room", cold_room)  # noqa: B010  mypy refuses an assignment
+
+    def close(self) -> None:
+        self._undo()
+
+
+def one(job: tuple[dict[str, Any], str, float, int]) -> dict[str, Any]:
+    """A day played: the figures."""
+    args, mode, skew, seed = job
+    scenario, walks = scenario_of(args, mode, skew), Walks()
+    try:
+        with TemporaryDirectory() as folder:
+            events = Path(folder) / "events"
+            result = play(scenario, seed, events=events)
+            with events.open("rb") as lines:
+                day = Day(read(lines), scenario, "virtual")
+    finally:
+        walks.close()
+    caches = [sent for sent in day.sent.values() if not sent.record.origin]
+    by_server: dict[str, list[Sent]] = {}
+    for sent in caches:
+        by_server.setdefault(sent.record.server, []).append(sent)
+    rules, used, most = scenario.rules, [], 0.0
+    for starts in day.starts.values():
+        for start in (start for start in starts if start.t > 0):
+            mine = [s for s in by_server.get(start.server, []) if 0 <= s.record.t - start.t < start.cold_ms]
+            for i in range(round(start.cold_ms / rules.fall_ms)):
+                since, until = start.t + i * rules.fall_ms, start.t + (i + 1) * rules.fall_ms
+                work = sum(sent.record.work_ms for sent in mine if since <= sent.record.t < until)
+                used.append(work / (rules.fall_multiple * capacity(start, until) * rules.fall_ms))
+            for window, work in _windows(mine, rules.fall_ms):
+                budget = rules.fall_multiple * capacity(start, window[-1].record.t) * rules.fall_ms
+                most = max(most, work / budget)
+    held = [one for one in day.records if isinstance(one, Held) and one.t > AT_S * 1000]
+    lent, looks = [one.borrowed for one in held], {one.t for one in held}
+    outcomes = Counter(sent.made.outcome for sent in caches if sent.made is not None)
+    return {
+        "args": args,
+        "mode": mode,
+        "skew": skew,
+        "seed": seed,
+        "fallen": sum(map(len, day.falls.values())),
+        "rule": result.rules.get("cold", 0),
+        "used": mean(used),
+        "most": most,
+        "met": len(walks.met),
+        "walked": len(walks.walked) / max(1, len(walks.met)),
+        "missed": outcomes["miss"] / max(1, len(caches)),
+        "origin": result.origin_per_request,
+        "goodput": result.goodput,
+        "p99": result.latency_ms.p99,
+        "borrowed": sum(lent) / (max(1, len(looks)) * args["nodes"]),
+        "ended": result.ended,
+        "rules": {rule: count for rule, count in result.rules.items() if count},
+        "wall_s": result.wall_s,
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--nodes", type=int, default=60)
+    parser.add_argument("--servers", type=int, default=60)
+    parser.add_argument("--replaced", type=int, default=12)
+    parser.add_argument("--rate", type=float, default=600.0)
+    parser.add_argument("--quota", type=float, default=0.0)
+    parser.add_argument("--skews", default="0,0.4")
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--json", type=Path, help="keeps the figures; what is there is not played again")
+    asked = parser.parse_args()
+    args = {name: getattr(asked, name) for name in ("nodes", "servers", "replaced", "rate", "quota")}
+    skews = [float(skew) for skew in asked.skews.split(",")]
+    jobs = [(args, mode, s, seed) for s in skews for seed in range(1, asked.seeds + 1) for mode in MODES]
+    rows: list[dict[str, Any]] = []
+    if asked.json is not None and asked.json.exists():
+        rows = [row for row in orjson.loads(asked.json.read_bytes()) if row["args"] == args]
+    known = {(row["mode"], row["skew"], row["seed"]) for row in rows}
+    print(f"{'skew':>5} {'mode':5} {'seed':>4}" + "".join(f"{name:>10}" for name in FIGURES))
+    for row in rows:
+        tell(row)
+    with ProcessPoolExecutor(asked.jobs) as pool:
+        for row in pool.map(one, [job for job in jobs if job[1:] not in known]):
+            rows.append(row)
+            if asked.json is not None:
+                asked.json.write_bytes(orjson.dumps(rows))
+            tell(row)
+
+
+def tell(row: dict[str, Any]) -> None:
+    figures = "".join(f"{row[name]:>10.4g}" for name in FIGURES)
+    print(
+        f"{row['skew']:>5} {row['mode']:5} {row['seed']:>4}{figures}  {row['ended']} {row['rules']}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/budgets_cost.py
@@ -0,0 +1,144 @@
+"""What shared budgets cost: the decision module and the node's hook a request, and the ledgers a second.
+
+    python -m benchmarks.budgets_cost
+
+All times are CPU of this process. Of the decisions: medians over ROUNDS rounds of REQUESTS requests, with and
+without in turn. The ledgers run in virtual time on the links of `flintridge/lab/partial/machines.py`, half of
+the nodes needing 1.8 parts and half 0.2; what the lab itself takes for them is in both figures.
+"""
+
+import statistics
+import time
+from typing import Any
+
+from flintridge import api
+from flintridge.budgets.holding import Terms
+from flintridge.budgets.ledger import PART
+from flintridge.budgets.pace import Pace
+from flintridge.decide import Balancer
+from flintridge.lab.partial.lending import Lenders
+from flintridge.lab.partial.machines import Machines
+from flintridge.net.budgets import Budgets
+
+MS = 1_000_000
+ROUNDS, REQUESTS, SERVERS, TENANTS = 21, 2_000, 20, 3
+EVERY = 50 * MS  # ns between two events that carry holdings
+PACES = (100, 1_000)  # requests a second at a node
+COUNTS = (20, 200)
+SETTLE, LOOKED = 10_000.0, 10_000.0  # ms: until it is looked at, and for how long
+
+
+class Quiet(Lenders):
+    """Without the lab's own look at the sum."""
+
+    def _look(self) -> None:
+        pass
+
+
+def settings() -> api.Settings:
+    tenants = tuple(api.Tenant(quota_per_s=200.0) for _ in range(TENANTS))
+    return api.Settings(tenants=tenants, fleet_size=10)
+
+
+class Played:
+    """A module with its own time (ns), to which requests come one by one; each is served at once."""
+
+    def __init__(self, per_s: int, told: bool) -> None:
+        self._module = Balancer(settings(), 1)
+        self._step, self._told = 1000 * MS // per_s, told
+        self._now, self._number, self._next = 1000 * MS, 0, 0
+        members = tuple(api.Member(f"s{i}") for i in range(SERVERS))
+        self._module.handle(self._now, api.MemberList(api.ListKind.FULL, 1, members))
+
+    def round(self) -> float:
+        """Microseconds a request, the events with holdings among them."""
+        handle, now, took = self._module.handle, self._now, 0.0
+        for i in range(self._number, self._number + REQUESTS):
+            uid = f"r{i}"
+            now += self._step
+            request = api.Request(
+                uid, now + 1000 * MS, key=f"k{i % 997}", tenant=i % TENANTS, work_ns=20 * MS
+            )
+            events: list[api.Event] = [request]
+            if self._told and now >= self._next:
+                self._next = now + EVERY
+                after = api.Holdings(dict.fromkeys(range(TENANTS), 1.0))
+                parts = {tenant: 1.5 + i % 2 / 10 for tenant in range(TENANTS)}
+                events.insert(0, api.Holdings(parts, 1.5, until=now + 2000 * MS, after=after))
+            began = time.thread_time()
+            for event in events:
+                actions = handle(now, event)
+            took += time.thread_time() - began
+            for action in actions:
+                if isinstance(action, api.Send):
+                    ended = api.AttemptEnded(uid, 0, action.server, api.Outcome.OK, 20 * MS, True)
+                    began = time.thread_time()
+                    handle(now, ended)
+                    took += time.thread_time() - began
+        self._number, self._now = self._number + REQUESTS, now
+        return took / REQUESTS * 1e6
+
+
+def module(per_s: int) -> None:
+    off, on = Played(per_s, False), Played(per_s, True)
+    off.round(), on.round()
+    pairs = [(off.round(), on.round()) for _ in range(ROUNDS)]
+    without, told = (statistics.median(column) for column in zip(*pairs, strict=True))
+    low, ratio, high = statistics.quantiles([b / a for a, b in pairs], n=4)
+    print(f"decisions, {per_s} requests a second: {without:.2f} us, told of holdings {told:.2f};", end=" ")
+    print(f"ratio {ratio:.3f} (quartiles {low:.3f} to {high:.3f})")
+
+
+def hook() -> None:
+    """`Core.seen`: one call a new request."""
+    made: Any = Budgets.__new__(Budgets)
+    made._pace, made._paces = Pace(0.0), {tenant: Pace(0.0) for tenant in range(TENANTS)}
+    found = []
+    for _ in range(ROUNDS):
+        seen = made._seen
+        began = time.thread_time()
+        for i in range(100_000):
+            seen(i % TENANTS)
+        found.append((time.thread_time() - began) / 100_000 * 1e9)
+    print(f"the node's hook: {statistics.median(found):.0f} ns a request")
+
+
+def fleet(fleet: Machines) -> tuple[float, float]:
+    """Bytes a node a second, and milliseconds of CPU a node a second."""
+    fleet.run(SETTLE)
+    before = sent(fleet)
+    began = time.thread_time()
+    fleet.run(LOOKED)
+    took = time.thread_time() - began
+    each = len(fleet.names) * LOOKED / 1000
+    return (sent(fleet) - before) / each, took * 1000 / each
+
+
+def sent(fleet: Machines) -> int:
+    processes = [process for found in fleet.processes.values() for process in found]
+    return sum(sum(one.seconds.values()) + sum(one.exchanged.values()) for one in processes)
+
+
+def ledgers(count: int) -> None:
+    alone = fleet(Machines(count, 1))
+    lenders = Quiet(count, 1, Terms(PART, 250, 4_000.0))
+    for i, name in enumerate(lenders.names):
+        lenders.need(name, 1.8 if i % 2 else 0.2)
+    both = fleet(lenders)
+    held = sum(lenders.usable(name) for name in lenders.names[1::2]) / (count / 2)
+    for what, alike, more in zip(("bytes", "ms of CPU"), alone, both, strict=True):
+        said = f"{alike:.4g} of peers alone, {more:.4g} with two budgets, ratio {more / alike:.2f}"
+        print(f"{count} nodes, {what} a node a second: {said}")
+    print(f"{count} nodes: who needs 1.8 parts has {held:.2f}")
+
+
+def main() -> None:
+    for per_s in PACES:
+        module(per_s)
+    hook()
+    for count in COUNTS:
+        ledgers(count)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/budgets_leaving.py
@@ -0,0 +1,174 @@
+"""Five of ten nodes leave in order, or are killed: what is lost, and what comes back by lending.
+
+    python -m benchmarks.budgets_leaving [--seeds 4] [--first 1] [--jobs 2] [--json FILE]
+    python -m benchmarks.budgets_leaving --holdings
+
+Half of the day `uneven` (400 requests a second, three servers, half of the quotas) with even traffic, in
+virtual time; the five go at 4 s for good. Each seed is played with even parts and with parts lent, for both
+ways to go.
+`due` is that of `benchmarks/budgets_gain.py`, here of the requests that were due within each span of seconds.
+
+`--holdings`: ledgers alone: the sum, in even parts, that the five that stay of ten may use, over time.
+"""
+
+import argparse
+import tempfile
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import orjson
+from msgspec.structs import replace
+
+from flintridge.budgets.holding import Terms
+from flintridge.budgets.ledger import PART
+from flintridge.lab.experiment.stats import bootstrap, mean
+from flintridge.lab.judge.facts import Day
+from flintridge.lab.judge.figures import wishes_of
+from flintridge.lab.partial.lending import Lenders
+from flintridge.lab.partial.views import VIEW_MS
+from flintridge.lab.records import Held, read
+from flintridge.lab.run import play
+from flintridge.lab.scenario.load import load
+from flintridge.lab.scenario.model import NodeKill, NodeRestart, Scenario
+
+GONE = (0, 1, 2, 3, 4)  # of zones in turn
+AT_S, LENGTH_S, WARMUP_S = 4.0, 16.0, 9.0
+SPANS = ((0, 4), (4, 5), (5, 6), (6, 8), (8, 10), (10, 12), (12, 16))  # s of the day
+MODES = {"even": [], "lent": ["peers={}", "budgets={tenants=true, floors=true}"]}
+HOWS = ("killed", "left")
+SERVES_ON = 700.0  # ms after a node was told to leave, as `Node.leave` does
+
+
+def scenario_of(how: str, mode: str) -> Scenario:
+    """The day, by how the five go and what is lent."""
+    day = load("uneven", ["load.zone_skew=0", "load.rate_per_s=400", "servers[0].count=3", *MODES[mode]])
+    gone = (
+        NodeKill(at_s=AT_S, for_s=0.0, nodes=GONE)
+        if how == "killed"
+        else NodeRestart(at_s=AT_S, for_s=100_000.0, nodes=GONE)
+    )
+    tenants = tuple(replace(tenant, quota_per_s=tenant.quota_per_s / 2) for tenant in day.tenants)
+    return replace(day, length_s=LENGTH_S, warmup_s=WARMUP_S, tenants=tenants, faults=(gone,))
+
+
+def one(job: tuple[str, str, int]) -> dict[str, Any]:
+    """A day played: goodput and due of each span, and what was lent."""
+    how, mode, seed = job
+    scenario = scenario_of(how, mode)
+    with tempfile.TemporaryDirectory() as folder:
+        events = Path(folder) / "events"
+        result = play(scenario, seed, events=events)
+        with events.open("rb") as lines:
+            played = Day(read(lines), scenario, "virtual")
+    wishes = wishes_of(played)
+    # Of all nodes that run, in even parts of one budget, seconds of the day: of the tenants' three the mean.
+    borrowed = [0.0] * int(LENGTH_S)
+    for record in played.records:
+        if isinstance(record, Held) and 0 <= record.t < LENGTH_S * 1000 and record.budget.startswith("quota"):
+            borrowed[int(record.t // 1000)] += record.borrowed * VIEW_MS / 1000 / len(scenario.tenants)
+    asked: Counter[tuple[int, str]] = Counter()
+    got: Counter[tuple[int, str]] = Counter()
+    for wish in wishes.values():
+        for i, (since, until) in enumerate(SPANS):
+            if since <= wish.due / 1000 < until:
+                asked[i, wish.tenant] += 1
+                got[i, wish.tenant] += wish.got / wish.asked
+    found: dict[str, Any] = {"how": how, "mode": mode, "seed": seed, "goodput": [], "due": []}
+    for i, (since, until) in enumerate(SPANS):
+        all_got = sum(got[i, tenant.name] for tenant in scenario.tenants)
+        all_asked = sum(asked[i, tenant.name] for tenant in scenario.tenants)
+        quotas = {tenant.name: tenant.quota_per_s * (until - since) for tenant in scenario.tenants}
+        owed = sum(min(asked[i, name], quota) for name, quota in quotas.items())
+        found["goodput"].append(all_got / all_asked)
+        found["due"].append(sum(min(got[i, name], quota) for name, quota in quotas.items()) / owed)
+    broken = {rule: count for rule, count in result.rules.items() if count}
+    return found | {"rules": broken, "ended": result.ended, "borrowed": borrowed}
+
+
+def tell(rows: list[dict[str, Any]]) -> None:
+    heads = "".join(f"{f'{since}-{until} s':>10}" for since, until in SPANS)
+    for figure in ("goodput", "due"):
+        print(f"\n{figure:18}{heads}")
+        for how in HOWS:
+            of = {mode: [r for r in rows if (r["how"], r["mode"]) == (how, mode)] for mode in MODES}
+            for mode, found in of.items():
+                means = (mean([row[figure][i] for row in found]) for i in range(len(SPANS)))
+                print(f"{how + ' ' + mode:18}" + "".join(f"{value:>10.3f}" for value in means))
+            print("    lent less even:")
+            for i, (since, until) in enumerate(SPANS):
+                pairs = [b[figure][i] - a[figure][i] for a, b in zip(of["even"], of["lent"], strict=True)]
+                low, high = bootstrap(pairs)
+                print(f"    {since}-{until} s {mean(pairs):+.3f} ({low:+.3f} to {high:+.3f})")
+    for row in rows:
+        if row["mode"] == "lent" or row["rules"] or row["ended"] != "whole":
+            parts = [round(parts, 2) for parts in row["borrowed"]]
+            print(row["how"], row["mode"], row["seed"], row["ended"], row["rules"], "borrowed", parts)
+
+
+def holdings() -> None:
+    """Five of ten nodes go at 20 s: what the five others may use, in even parts."""
+    heads = "".join(f"{how + ', ' + kind:>22}" for how in HOWS for kind in NEEDS)
+    print(f"ms after   {heads}")
+    columns = [list(usable(how, *needs)) for how in HOWS for needs in NEEDS.values()]
+    for i, after in enumerate(AFTER):
+        print(f"{after:8}   " + "".join(f"{column[i]:>22.2f}" for column in columns))
+
+
+# What those need that stay, and those that go: before, and those that stay after it.
+NEEDS = {"even": (0.9, 0.9, 1.8), "lenders go": (1.8, 0.2, 1.8), "borrowers go": (0.2, 1.8, 0.4)}
+AFTER = (-100, 100, 500, 1000, 2000, 3000, 4000, 5000, 8000, 15000)  # ms
+
+
+def usable(how: str, stay: float, go: float, then: float) -> list[float]:
+    fleet = Lenders(10, 1, Terms(PART, 250, 4_000.0))
+    for i, name in enumerate(fleet.names):
+        fleet.need(name, go if i in GONE else stay)
+    fleet.run(20_000.0 + AFTER[0])
+    staying = [name for i, name in enumerate(fleet.names) if i not in GONE]
+    sums = [sum(fleet.usable(name) for name in staying)]
+    fleet.run(-AFTER[0])
+    for name in [fleet.names[i] for i in GONE]:
+        if how == "killed":
+            fleet.kill(name)
+            continue
+        fleet.ledger(name).leave(fleet.living(name)[-1].clock(fleet.now))
+        fleet.at(fleet.now + SERVES_ON, partial(fleet.leave, name))
+    for name in staying:
+        fleet.need(name, then)
+    for after in AFTER[1:]:
+        fleet.run(20_000.0 + after - fleet.now)
+        sums.append(sum(fleet.usable(name) for name in staying))
+    assert not fleet.over, fleet.over[0]
+    return sums
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--json", type=Path, help="keeps the figures; what is there is not played again")
+    parser.add_argument("--holdings", action="store_true", help="ledgers alone")
+    args = parser.parse_args()
+    if args.holdings:
+        holdings()
+        return
+    seeds = range(args.first, args.first + args.seeds)
+    jobs = [(how, mode, seed) for seed in seeds for how in HOWS for mode in MODES]
+    rows: list[dict[str, Any]] = []
+    if args.json is not None and args.json.exists():
+        rows = orjson.loads(args.json.read_bytes())
+    known = {(row["how"], row["mode"], row["seed"]) for row in rows}
+    with ProcessPoolExecutor(args.jobs) as pool:
+        for row in pool.map(one, [job for job in jobs if job not in known]):
+            rows.append(row)
+            if args.json is not None:
+                args.json.write_bytes(orjson.dumps(rows))
+    tell(sorted((row for row in rows if row["seed"] in seeds), key=lambda row: row["seed"]))
+
+
+if __name__ == "__main__":
+    main()
