--- a/benchmarks/budgets_cold.py
+++ b/benchmarks/budgets_cold.py
@@ -10,9 +10,10 @@
 
 `used`: mean over the servers' six rule windows of the work that came, of the budget of rule 4 at the window's
 end; `most`: the greatest of any server and window that ends with an attempt. `met`: requests that came to a
-cold server on their walk; `walked`: the part of them that its budget sent on, at any time. `missed`: attempts
-at caches that found nothing, of all; `origin`: fetches there for each request; `borrowed`: even parts a node,
-the mean of all looks from 2 s on.
+cold server on their walk; `walked`: the part of them that its budget sent on, at any time. `dealt`: of these
+looks at a cold server, those in which the part that is lent was more than what the node saw warm servers do,
+and so decided. `missed`: attempts at caches that found nothing, of all; `origin`: fetches there for each
+request; `borrowed`: even parts a node, the mean of all looks from 2 s on.
 """
 
 import argparse
@@ -43,6 +44,7 @@
     "most",
     "met",
     "walked",
+    "dealt",
     "missed",
     "origin",
     "goodput",
@@ -73,12 +75,15 @@
     def __init__(self) -> None:
         self.met: set[str] = set()
         self.walked: set[str] = set()
+        self.looks = self.dealt = 0
         asked = decide.Balancer.cold_room
 
         def cold_room(module: decide.Balancer, server: decide.Server, request: decide.Held) -> bool:
             free = asked(module, server, request)
             if module.warmth(server) < 1:
                 self.met.add(request.event.id)
+                self.looks += 1
+                self.dealt += module.own_part() > module.warm_load
                 if not free:
                     self.walked.add(request.event.id)
             return free
@@ -131,6 +136,7 @@
         "most": most,
         "met": len(walks.met),
         "walked": len(walks.walked) / max(1, len(walks.met)),
+        "dealt": walks.dealt / max(1, walks.looks),
         "missed": outcomes["miss"] / max(1, len(caches)),
         "origin": result.origin_per_request,
         "goodput": result.goodput,
