--- a/benchmarks/budget_silence.py
+++ b/benchmarks/budget_silence.py
@@ -2,9 +2,9 @@
 
     python -m benchmarks.budget_silence --seconds 60
 
-Three real processes with strict quotas; the crowded one borrows, then its ways are cut. Its console is asked
-ten times a second. Exit code 1 if it told anything but its even part once its loans were over, or if more arrived
-at the servers than the quota allows.
+Three real processes with strict quotas; the crowded one borrows, then its ways are cut. Its console is
+asked ten times a second. Exit code 1 if it told anything but its even part once its loans were over, or if
+more arrived at the servers than the quota allows.
 """
 
 import argparse
