--- a/tests/test_budgets_processes.py
+++ b/tests/test_budgets_processes.py
@@ -284,7 +284,7 @@
         rig.cut([0], [1, 2])
         await seen(rig, "n0", even)
         begin = rig.fabric.clock.now()
-        while rig.fabric.clock.now() < begin + 4 * LASTS:  # longer: benchmarks/budget_silence.py
+        while rig.fabric.clock.now() < begin + 4 * LASTS:  # a minute: benchmarks/budget_silence.py
             assert (await seen(rig, "n0", lambda one: True))["usable"] == 1.0
             await asyncio.sleep(0.1)
 
