Forget what was kept beside a loan however it ends

Cause: when a loan was given back, the instant of its last renewal and a refused renewal stayed in the ledger for ever; only loans that ran out took them along. Ruled out: holdings and calls, which were emptied already. Change: one place drops all three, whichever way a loan ends.

--- a/flintridge/budgets/ledger.py
+++ b/flintridge/budgets/ledger.py
@@ -204,11 +204,17 @@
                 self.counts["expired"] += 1
                 if account.need > holding.usable(now):
                     self._told("budgets_lease_over", budget=account.budget.name, lender=key[0])
-                for of in (account.lenders, account.renewed):
-                    of.pop(key, None)
-                account.denied.discard(key)
+                self._over(account, key)
         holding.look(now)
 
+    @staticmethod
+    def _over(account: Account, key: tuple[str, int]) -> int | None:
+        """What was known of a loan beside it goes with it, however it ended: guards a long day. Its lender's
+        life."""
+        account.renewed.pop(key, None)
+        account.denied.discard(key)
+        return account.lenders.pop(key, None)
+
     def _repeat(self, account: Account, now: float) -> None:
         for (lender, id), call in [*account.calls.items()]:
             if now < call.said_at + AGAIN:
@@ -224,7 +230,8 @@
 
     def _forgo(self, account: Account, lender: str, id: int) -> None:
         call = account.calls.pop((lender, id), None)
-        life = account.lenders.pop((lender, id), None) if call is None else call.life
+        lender_life = self._over(account, (lender, id))
+        life = lender_life if call is None else call.life
         give = account.holding.forgo(lender, id)
         if life is not None:
             self._say((lender, life), account, give)
--- a/tests/test_budgets_ledger.py
+++ b/tests/test_budgets_ledger.py
@@ -78,6 +78,18 @@
     assert a[1].counts["given_back"] > 0
 
 
+def test_nothing_is_kept_of_loans_that_were_given_back():
+    a, b = pair()
+    for now in range(0, 60_000, 50):
+        a[1].need(QUOTA, 1.8 if now // 6_000 % 2 else 0.1)
+        talk(now, a, b, 1)
+    account = a[1].accounts[QUOTA]
+    assert a[1].counts["given_back"] > 10 and a[1].counts["renewed"] > 10
+    live = set(account.holding.borrowed)
+    assert set(account.renewed) | set(account.lenders) | account.denied <= live
+    assert set(account.holding.asked) <= live | set(account.calls)
+
+
 def test_a_lender_that_needs_its_part_again_has_it_when_the_loans_end():
     a, b = pair()
     for now in range(0, 5_000, 50):
