Give a watch call no longer a wait than a drain's grace

Followed: n2's last answer came at 2.727 s, its next call ran out at 8.730 s (4 s of wait, 2 s more), it asked anew after 0.4 s and had the list at 11.03 s, behind the five others, as discovery answers one after another. Ruled out: a refused or failed second call (none in the logs), the module (no send to a server after its list named it draining). Cause: the wait of 4 s (WAIT in transport_map.py) left 2 s of grace for the pause, the queue and what was on its way. Change: the wait is the grace of the settings, 1 to 4 s.

--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -9,7 +9,7 @@
 import orjson
 
 from flintridge.api import ListKind, Member, MemberList, MemberState, Settings
-from flintridge.net.clock import Clock, OutOfTime, sleep, to_ns, within
+from flintridge.net.clock import Clock, OutOfTime, sleep, to_ms, to_ns, within
 from flintridge.net.counters import Counters
 from flintridge.net.log import EventLog
 from flintridge.net.origin import HttpExchange
@@ -20,13 +20,26 @@
     "terminating": MemberState.DRAINING,
     "terminated": MemberState.GONE,
 }
-WAIT = 4_000.0  # of a watch; short, so that a link to discovery that fell silent is noticed soon
+WAIT = 4_000.0  # of a watch at the most
+LEAST_WAIT = 1_000.0
 ANSWER_TIME = 2_000.0  # beyond the wait
 LIST_TIME = 3_000.0  # of a call that does not wait
 PACE = 100.0  # between the starts of two watch calls; the next must come within 200 ms of an answer
 MAX_LIST = 4 * 1024 * 1024
 
 
+def watch_wait(settings: Settings) -> float:
+    """How long a watch call may wait, in ms: short enough that a silent one does not outlast a drain's grace.
+
+    A link that falls silent says nothing, and what it misses counts as told 6 s later. Up to half a second
+    of that was gone when the last call began, since its answer may have been on the way; the call is given up
+    ANSWER_TIME after its wait, the next one follows within half a second and may take LIST_TIME. Guards
+    against a first send after the grace: with 4 s for all, three of six nodes that asked anew together were
+    too late.
+    """
+    return min(WAIT, max(LEAST_WAIT, to_ms(settings.rules.drain_grace_ns)))
+
+
 @dataclass(slots=True, frozen=True)
 class Transport:
     address: Address
@@ -160,7 +173,10 @@
         tell: Callable[[MemberList], None],
         log: EventLog,
         counters: Counters,
+        wait: float = WAIT,
     ) -> None:
+        """`wait`: how long a call may wait for something new, in ms."""
+        self._wait = wait
         self.discovery = discovery
         self._transports = transports
         self._clock = clock
@@ -170,6 +186,21 @@
         self._watching: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._anew = False  # the next call takes the whole list: changes since a revision mean nothing
+        self._held_back: MemberList | None = None  # a list to go by only if discovery does not answer
+
+    @property
+    def listed(self) -> bool:
+        """Whether a list to go by has been told."""
+        return self._held_back is None
+
+    def begin(self, known: MemberList) -> None:
+        """Where lists are pushed: the whole list first, and `known` only if discovery does not answer.
+
+        What is pushed counts as told from the first moment of a process, so a list kept from a life before
+        may name servers whose drain is long over.
+        """
+        self._held_back, self._anew = known, True
+        self.watch(True)
 
     def watch(self, on: bool) -> None:
         """Subscribe, or end the subscription; while one goes on another would be a call too many."""
@@ -229,8 +260,8 @@
                 if self._anew:
                     text = await self._whole(call)
                 else:
-                    target = f"/api/targets?after={self._transports.revision}&wait_ms={WAIT:.0f}"
-                    text = await within(self._clock, WAIT + ANSWER_TIME, call.get(target))
+                    target = f"/api/targets?after={self._transports.revision}&wait_ms={self._wait:.0f}"
+                    text = await within(self._clock, self._wait + ANSWER_TIME, call.get(target))
                 self._told(text)
                 self._anew = False
                 # Guards discovery against a list that answers at once, time after time.
@@ -254,11 +285,15 @@
             self._log.event(
                 "transport_map", kind=members.kind.value, revision=members.version, members=states
             )
+        self._held_back = None
         self._tell(members)
 
     def _failed(self, error: Exception) -> None:
         self._counters.add("transport_map_failures")
         self._log.event("transport_map_failed", error=repr(error))
+        if (known := self._held_back) is not None:
+            self._held_back = None
+            self._tell(known)
         self._tell(MemberList(ListKind.FAILED))
 
 
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, fields, replace
 from typing import TYPE_CHECKING
 
-from flintridge.api import MemberList
+from flintridge.api import Discovery, MemberList
 from flintridge.decide import QUOTA_SLACK, Balancer
 from flintridge.drain import Drain, State
 from flintridge.net.clock import Clock
@@ -21,7 +21,7 @@
 from flintridge.net.log import EventLog
 from flintridge.net.sender import SenderSide
 from flintridge.net.siblings import Siblings
-from flintridge.net.transport_map import Holds, TransportMap, TransportWatch, known_list
+from flintridge.net.transport_map import Holds, TransportMap, TransportWatch, known_list, watch_wait
 from flintridge.settings import LONGEST_MB, NodeConfig
 
 if TYPE_CHECKING:
@@ -88,7 +88,13 @@
             self._holds = Holds(self.core.told)
             self._list_told = self._holds.told
         self.watch = TransportWatch(
-            config.discovery, self.transports, clock, self._list_told, log, self.counters
+            config.discovery,
+            self.transports,
+            clock,
+            self._list_told,
+            log,
+            self.counters,
+            watch_wait(settings),
         )
         self.core.attach(self.delivery, self.watch)
         self.drain = Drain()
@@ -128,7 +134,7 @@
             self.replica = Replica(
                 config.state, self.peers, clock, log, self.counters, entropy, self._holds.hold
             )
-            self.side.ready = self.replica.caught_up
+        self.side.ready = self._ready
         self._closed = False
         listen = config.listen
         self._siblings: Siblings | None = None
@@ -156,12 +162,19 @@
             self.budgets.start()  # before the first request: a process that just began holds its floor alone
         if self.replica is not None:
             self.replica.start()
-        self._list_told(self._known)
+        if self.config.settings.discovery is Discovery.PUSHED:
+            self.watch.begin(self._known)  # a watch is how lists are pushed: it is open from the first moment
+        else:
+            self._list_told(self._known)
         listen = self.config.listen
         port = await self.side.listen(listen)
         self.log.event("serving", host=listen.host, port=port, members=len(self._known.members))
         return port
 
+    def _ready(self) -> bool:
+        """What else has to be before `mn` is answered: a list, and the state of others where it is held."""
+        return self.watch.listed and (self.replica is None or self.replica.caught_up())
+
     def reload(self, new: NodeConfig) -> Reloaded:
         """Take over from `new` what can change in service; no request and no connection is touched."""
         self.counters.add("reloads")
