End connections in order, and write nothing whose reasons are gone

Clients: closing between requests reset a connection with a request unread, and dropped what the node had read but not looked at. Now one mechanism (SenderConnection.close): all answers written, reading stopped until the sending half is shut, what comes after that read past within 0.5 s and 256 KiB, then closed. What was read before is answered. Not seen: an end behind bytes that the system itself has no room for. What comes more than 0.7 s after SIGTERM is answered before the process may be killed (Core.answer_by). Servers: a connection that comes up late is written to only while the client is there, the drain's grace and the window of a keyed repeat allow it: api.Send carries both instants, what is withheld ends as MOOT. Kept connections are looked at in the kernel before use. One whose last answer named no request rests 50 ms, as a second copy may be late. Process: SIGHUP during start no longer ends it, and what it asks for is done once it runs.

--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -1,9 +1,16 @@
 """The daemon: reads its configuration, starts one node, and minds the signals."""
 
+import signal
+
+early: list[int] = []  # signals to read the configuration again that came before a node could
+if __name__ == "__main__":
+    # Guards the start: a SIGHUP that comes while modules are imported and the configuration is read would end
+    # the program, and one that comes after it was read must not be lost.
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+
 import asyncio
 import contextlib
 import os
-import signal
 import sys
 
 from flintridge.net.clock import SystemClock
@@ -19,13 +26,15 @@
     ending = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
-    # Guards the start: a SIGHUP that comes while the node is put together would end the program. What is
-    # signalled until the loop goes on is carried out by the handler that stands then.
-    loop.add_signal_handler(signal.SIGHUP, log.event, "reload_early")
+    # What is signalled until the loop goes on is carried out by the handler that stands then.
+    loop.add_signal_handler(signal.SIGHUP, early.append, signal.SIGHUP)
     node = Node(config, SystemClock(loop), log, shared=os.environ.get("TMPDIR") or "/tmp")
     loop.add_signal_handler(signal.SIGHUP, _reload, node)
     loop.add_signal_handler(signal.SIGUSR1, node.tell_counters)
     await node.start()
+    if early:
+        log.event("reload_early")
+        _reload(node)
     await ending.wait()
     await node.leave()
 
--- a/flintridge/api.py
+++ b/flintridge/api.py
@@ -307,6 +307,10 @@
     id: str
     server: str
     timeout_ns: int = 0  # 0: until the client gives up
+    # The latest instants at which what the send rests on still holds, where a driver cannot write at once: of
+    # its first byte, and of its last (inf: no such limit). What is not begun by then is Outcome.MOOT.
+    begin_by: float = math.inf
+    written_by: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -1,7 +1,4 @@
-"""The decisions of flintridge: bounded-load consistent hashing.
-
-The interface (settings, events, actions) is in flintridge/api.py.
-"""
+"""The decisions of flintridge: bounded-load consistent hashing. The interface is in flintridge/api.py."""
 
 import bisect
 import hashlib
@@ -634,7 +631,9 @@
         if gate is self.caches and self.warmth(known) < 1:
             known.recent.append((self.now, self.work(request)))
             known.recent_work += self.work(request)
-        self.out.append(api.Send(request.event.id, server, self.patience(request, gate)))
+        # Should it be told of a drain right after this, it may begin to write until the grace is over.
+        grace, wait = self.settings.rules.drain_grace_ns or math.inf, self.patience(request, gate)
+        self.out.append(api.Send(request.event.id, server, wait, self.now + grace, self.repeat_by(request)))
 
     # Connections dropped unseen: told from sickness by the idle time: most attempts on those unused as long
     # got no answer, few of the others. They are closed before they are that old, until STALE_SPAN is over.
@@ -677,11 +676,17 @@
         in_time = wait <= self.last_start(request, gate) - self.now
         return wait if in_time and (cls.effect is Effect.SAFE or wait < cls.window_ns) else 0
 
-    @staticmethod
-    def may_repeat(request: Held) -> bool:
-        """Whether a repeat is harmless wherever it runs."""
+    def may_repeat(self, request: Held) -> bool:
+        """Whether a repeat is harmless by now, wherever it runs."""
         effect, group = request.cls.effect, request.cls.group
-        return effect is Effect.SAFE or (effect is Effect.KEYED and group is api.Group.ALL)
+        dropped = effect is Effect.KEYED and group is api.Group.ALL and self.now <= self.repeat_by(request)
+        return effect is Effect.SAFE or dropped
+
+    @staticmethod
+    def repeat_by(request: Held) -> float:
+        """Until when it may be sent once more; always, while none of its attempts may have run."""
+        window = {Effect.SAFE: math.inf, Effect.KEYED: request.cls.window_ns, Effect.UNSAFE: -1}
+        return math.inf if request.ran_at is None else request.ran_at + window[request.cls.effect]
 
     # One fetch for each key: while one is out at the origin, other reads of the key that missed wait for it
     # and then ask the server that stored it. Guards the origin; where answers are not kept, a follower loses
@@ -773,26 +778,21 @@
 
     def may_send(self, request: Held, server: str) -> bool:
         """Rule 2, the attempts cap and the client's patience."""
-        if self.now >= request.event.deadline or len(request.attempts) >= self.settings.limits.max_attempts:
+        late = self.now >= request.event.deadline or self.now > self.repeat_by(request)
+        if late or len(request.attempts) >= self.settings.limits.max_attempts:
             return False
-        first = request.ran_on
-        if request.ran_at is None or first is None or request.cls.effect is Effect.SAFE:
+        first, then = request.ran_on, self.servers[server].member
+        if first is None or self.may_repeat(request):
             return True
-        if request.cls.effect is Effect.UNSAFE or self.now > request.ran_at + request.cls.window_ns:
-            return False
-        then = self.servers[server].member
-        same_zone, same_cell = first.zone == then.zone, first.cell == then.cell
-        return self.may_repeat(request) or (same_zone if request.cls.group is api.Group.ZONE else same_cell)
+        return first.zone == then.zone if request.cls.group is api.Group.ZONE else first.cell == then.cell
 
     def give_up(self, request: Held) -> None:
         """The final answer when nothing more can be done: a refusal where trying again is harmless."""
         harmless = request.ran_at is None or self.may_repeat(request)
-        likeness = self.likeness(request.event)
-        self.refused.pop(likeness, None)
+        self.refused.pop(likeness := self.likeness(request.event), None)
         self.refused[likeness] = (request.arrived, request.over_quota)
         for oldest in list(itertools.islice(self.refused, 2)):
-            cls = self.settings.classes[oldest[0]]
-            if self.now >= self.refused[oldest][0] + cls.deadline_ns:
+            if self.now >= self.refused[oldest][0] + self.settings.classes[oldest[0]].deadline_ns:
                 del self.refused[oldest]
         if len(self.refused) > self.settings.limits.max_open:
             self.refused.pop(next(iter(self.refused)))
--- a/flintridge/lab/defects/planted.py
+++ b/flintridge/lab/defects/planted.py
@@ -3,6 +3,7 @@
 Each wraps or replaces something of this one Node's objects; the node's own code has no part in it.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -200,7 +201,7 @@
     """The first attempt of what has this effect is awaited for `patience_ns`, and then may_send's word on the
     effect does not count: time and number still bound the attempts."""
     balancer = balancer_of(node)
-    patience, may_send = balancer.patience, balancer.may_send
+    patience, may_send, repeat_by = balancer.patience, balancer.may_send, balancer.repeat_by
 
     def impatient(request: Held, gate: Gate) -> int:
         first = request.cls.effect is effect and not request.attempts[1:]
@@ -212,6 +213,10 @@
         in_time = balancer.now < request.event.deadline
         return in_time and len(request.attempts) < balancer.settings.limits.max_attempts
 
+    def always(request: Held) -> float:
+        return math.inf if request.cls.effect is effect else repeat_by(request)
+
+    put(balancer, "repeat_by", always)  # else the delivery would not write it
     put(balancer, "patience", impatient)
     put(balancer, "may_send", regardless)
 
@@ -243,7 +248,9 @@
 
     def once_more(attempt: DeliveryAttempt) -> None:
         now = node.clock.now()
-        start(replace(attempt, number=1000, sent_at=now, until=now + 500, ended=False, give_up=None))
+        start(
+            replace(attempt, number=1000, sent_at=now, until=now + 500, ended=False, give_up=None, over=False)
+        )
 
     class Later(Alter):
         uid = ""
@@ -337,7 +344,7 @@
     """Connections to servers are neither used again nor closed, and no longer counted."""
     lost: list[Link] = []
 
-    def forget(server: str, link: Link) -> None:
+    def forget(server: str, link: Link, named: bool = True) -> None:
         lost.append(link)
         node.delivery._open -= 1
 
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -3,13 +3,14 @@
 It decides nothing on its own: no server is picked here and nothing is sent again. It knows no protocol.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from flintridge import api
-from flintridge.net.clock import Clock, Timer, to_ms, to_ns
+from flintridge.net.clock import NS, Clock, Timer, to_ms, to_ns
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Answer, DeliveryAttempt, Envelope, Long, Passage, Reply
 from flintridge.net.log import EventLog
@@ -87,6 +88,7 @@
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._closed = False
+        self.answer_by = math.inf  # whatever is taken in is answered by then, however long its client waits
         self._now = 0  # the module's clock never goes back, nor behind a timer that is due
         self.moved: Callable[[DeliveryAttempt, int], None] | None = None  # told +1 and -1: an attempt is out
         self.seen: Callable[[int], None] | None = None  # called with the tenant of each request that is new
@@ -122,7 +124,7 @@
             patience = min(patience, envelope.wait_ms)
         margin = min(MARGIN, patience / 10)
         now = self._clock.now()
-        deadline = now + patience - margin
+        deadline = min(now + patience - margin, self.answer_by)
         guard = self._clock.call_at(deadline + margin / 2, self._due, uid)
         self._open[uid] = Open(envelope, reply, deadline, guard, kept)
         if self.seen is not None and not envelope.retry:
@@ -253,8 +255,8 @@
     def _carry_out(self, action: api.Action) -> None:
         assert self._delivery is not None and self._watch is not None
         match action:
-            case api.Send(uid, server, timeout):
-                self._send(uid, server, timeout)
+            case api.Send():
+                self._send(action)
             case api.SetTimer(at, token):
                 self._clock.call_at(to_ms(at), self._timer, at, token)
             case api.Cancel(uid, number):
@@ -278,8 +280,9 @@
             case _:
                 self._log.event("action_unknown", action=type(action).__name__)
 
-    def _send(self, uid: str, server: str, timeout_ns: int) -> None:
+    def _send(self, send: api.Send) -> None:
         assert self._delivery is not None
+        uid, server, timeout_ns = send.id, send.server, send.timeout_ns
         now = self._clock.now()
         request = self._open.get(uid)
         if request is None:
@@ -287,6 +290,7 @@
             return
         until = request.deadline if timeout_ns == 0 else min(request.deadline, now + to_ms(timeout_ns))
         attempt = DeliveryAttempt(uid, len(request.attempts), server, request.envelope, now, until)
+        attempt.begin_by, attempt.written_by = send.begin_by / NS, send.written_by / NS
         request.attempts.append(attempt)
         request.out += 1
         if self.moved is not None:
@@ -358,6 +362,8 @@
     def _answered(self, uid: str, request: Open) -> None:
         request.answered = True
         request.guard.cancel()
+        for attempt in request.attempts:
+            attempt.over = True
         self._forget(uid)
 
     def _forget(self, uid: str) -> None:
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from flintridge.net.log import EventLog
 from flintridge.net.memcache import CacheExchange, CacheProbe
 from flintridge.net.origin import OriginExchange, OriginProbe
-from flintridge.net.streams import READ, bound_reads
+from flintridge.net.streams import READ, CountingReader, bound_reads, holds_bytes
 from flintridge.net.transport_map import Transport, TransportMap
 from flintridge.settings import Address
 
@@ -27,6 +28,9 @@
 STALE_PART = 0.8  # of the least age at which most were lost
 PROBE_TIME = 500.0
 PIECE = 64 * 1024  # bytes of a value that are handed to a connection at a time
+# So long a connection whose last answer named no request is not used again. Guards the next one against a
+# second copy of that answer, which can come some milliseconds late and would pass for its own.
+REST = 50.0
 SERVER_SILENT = 10_000.0  # so long a server may pause within a long value; then it has failed
 
 
@@ -34,20 +38,22 @@
     """Every descriptor that may be used for servers is in use."""
 
 
-class LinkReader(asyncio.StreamReader):
-    """Counts what arrives, and tells of anything that arrives while nothing was asked.
+class Withheld(Exception):
+    """An attempt that may not be written any more; nothing of it was."""
+
+
+class LinkReader(CountingReader):
+    """Tells of anything that arrives while nothing was asked.
 
     Guards the next question on a kept connection against being answered by bytes that lie there already: a
     second copy of the answer before, noise behind it, or the end of the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(limit=READ // 2, loop=loop)
-        self.fed = 0
+        super().__init__(loop, limit=READ // 2)
         self.unasked: Callable[[], None] | None = None  # set while nothing may arrive
 
-    def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # what transports hand over
-        self.fed += len(data)
+    def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # as in the base
         super().feed_data(data)
         if self.unasked is not None:
             self.unasked()
@@ -66,6 +72,7 @@
     reader: LinkReader
     writer: asyncio.StreamWriter
     idle_since: float = 0.0
+    rests_until: float = 0.0
     asked: bool = False  # the question was written whole
     read: int = 0  # bytes
     aged: float = (
@@ -83,10 +90,21 @@
         reader = self.reader
         return reader.fed != self.read or reader.at_eof() or self.writer.is_closing()
 
-    async def ask(self, exchange: Exchange) -> Answer | None:
+    async def ask(self, exchange: Exchange, clock: Clock, written_by: float = math.inf) -> Answer | None:
         """None where a long value has begun, which the exchange then holds. Raises OSError where the
-        connection breaks."""
+        connection breaks, OutOfTime where the question is not written whole by then."""
         self.asked = False
+        if written_by < math.inf:
+            await within(clock, written_by - clock.now(), self._write(exchange))
+        else:
+            await self._write(exchange)
+        self.asked = True
+        while True:
+            answer = await self.more(exchange)
+            if answer is not None or exchange.long is not None:
+                return answer
+
+    async def _write(self, exchange: Exchange) -> None:
         short: list[bytes | bytearray] = []
         for part in exchange.question():
             if len(part) <= PIECE:
@@ -100,11 +118,6 @@
                 await self.writer.drain()
         self.writer.writelines(short)
         await self.writer.drain()  # with no high-water mark: returns when all is written
-        self.asked = True
-        while True:
-            answer = await self.more(exchange)
-            if answer is not None or exchange.long is not None:
-                return answer
 
     async def more(self, exchange: Exchange) -> Answer | None:
         """Read on. Raises OSError where the connection ends too early."""
@@ -193,8 +206,13 @@
             if link is None:
                 limit = min(self._connect_time, attempt.until - self._clock.now())
                 link = await self._connect(transport.address, limit)
+            # The connection may have been long in coming up: what the send rested on has to hold still.
+            now = self._clock.now()
+            if attempt.over or now > min(attempt.begin_by, attempt.written_by):
+                raise Withheld
             exchange = self._exchange(attempt, transport)
-            got = await within(self._clock, attempt.until - self._clock.now(), link.ask(exchange))
+            ask = link.ask(exchange, self._clock, attempt.written_by)
+            got = await within(self._clock, attempt.until - now, ask)
             self._note_age(link.aged, False)
             if exchange.long is None or (got is not None and got.served is None and got.spoilt):
                 assert got is not None
@@ -203,11 +221,17 @@
                 answer = exchange.long.answer
                 await self._pass_on(attempt, exchange, exchange.long, link, got)
             if exchange.reusable:
-                self._keep(attempt.server, link)
+                self._keep(attempt.server, link, exchange.named)
                 link = None
         except OutOfTime:
             if link is not None and link.asked:
                 answer = Answer(Outcome.TIMEOUT)
+        except Withheld:
+            self._counters.add("attempts_withheld")
+            answer = Answer(Outcome.MOOT)
+            assert link is not None
+            self._keep(attempt.server, link)
+            link = None
         except NoRoom:
             self._counters.add("attempts_no_room")
             answer = Answer(Outcome.MOOT)  # never sent, and no sign of its server
@@ -267,11 +291,11 @@
             link = self._take(server, transport) or await self._connect(transport.address, self._connect_time)
             host = f"{transport.address.host}:{transport.address.port}"
             probe: Exchange = OriginProbe(host) if transport.origin else CacheProbe()
-            got = await within(self._clock, PROBE_TIME, link.ask(probe))
+            got = await within(self._clock, PROBE_TIME, link.ask(probe, self._clock))
             assert got is not None  # a report is no long value
             answer = got
             if probe.reusable:
-                self._keep(server, link)
+                self._keep(server, link, probe.named)
                 link = None
         except OutOfTime:
             answer = Answer(Outcome.TIMEOUT)
@@ -288,26 +312,36 @@
     # Connections
 
     def _take(self, server: str, transport: Transport) -> Link | None:
-        links = self._idle.get(server)
-        while links:
+        links, found, now = self._idle.get(server, deque()), None, self._clock.now()
+        resting: list[Link] = []
+        while links and found is None:
             link = links.pop()
-            idle = self._clock.now() - link.idle_since
+            idle = now - link.idle_since
+            if now < link.rests_until and not link.broken:
+                resting.append(link)
+                continue
             link.reader.unasked = None
-            if not link.broken and idle < self._idle_time and link.address == transport.address:
-                if not links:
-                    del self._idle[server]
+            if link.broken or idle >= self._idle_time or link.address != transport.address:
+                self._close(link)
+            elif holds_bytes(link.writer.transport):  # in this moment: the event loop has not seen them yet
+                self._counters.add("connections_unasked")
+                self._close(link)
+            else:
+                found = link
                 link.aged, link.before = idle, link.read
-                return link
-            self._close(link)
-        self._idle.pop(server, None)
-        return None
+        links.extend(reversed(resting))
+        if not links:
+            self._idle.pop(server, None)
+        return found
 
-    def _keep(self, server: str, link: Link) -> None:
+    def _keep(self, server: str, link: Link, named: bool = True) -> None:
+        """`named`: whether the last answer on it told which request it was for."""
         if link.broken:  # more than the answer came while it was passed on
             self._counters.add("connections_unasked")
             self._close(link)
             return
         link.idle_since = self._clock.now()
+        link.rests_until = 0.0 if named else link.idle_since + REST
         link.reader.unasked = lambda: self._unasked(server, link)
         self._idle.setdefault(server, deque()).append(link)
 
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -1,5 +1,6 @@
 """What passes between a front, the core and the drivers; it knows neither memcache nor HTTP."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -100,6 +101,10 @@
     def reusable(self) -> bool:
         """Whether the connection may carry another exchange."""
 
+    @property
+    def named(self) -> bool:
+        """Whether the answer told which request it was for, so that a second copy passes for no other."""
+
     @property
     def long(self) -> "Long | None":
         """The long value that has begun to come, if any; the answer follows with its end."""
@@ -122,5 +127,8 @@
     envelope: Envelope
     sent_at: float
     until: float  # the node stops waiting then
+    begin_by: float = math.inf  # its first byte may go until then,
+    written_by: float = math.inf  # and its last
+    over: bool = False  # its request has ended: what is not begun is not to be written any more
     ended: bool = False
     give_up: Callable[[], object] | None = None  # set by the driver that carries it
--- a/flintridge/net/listen.py
+++ b/flintridge/net/listen.py
@@ -8,6 +8,7 @@
 from array import array
 from collections.abc import Awaitable, Callable
 
+from flintridge.net.streams import CountingReader
 from flintridge.settings import Address
 
 # In one go asyncio accepts as many as it is told to let wait, before any of them can be turned away. Guards
@@ -82,8 +83,7 @@
     def _hand_over(self, one: socket.socket) -> None:
         """As asyncio's server does it with a connection that it accepted."""
         loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(loop=loop)
-        protocol = asyncio.StreamReaderProtocol(reader, self._accepted, loop=loop)
+        protocol = _protocol(loop, self._accepted)
 
         async def attach() -> None:
             with contextlib.suppress(OSError):  # it ended meanwhile
@@ -106,11 +106,21 @@
         return one
 
 
+def _protocol(loop: asyncio.AbstractEventLoop, accepted: Accepted) -> asyncio.StreamReaderProtocol:
+    """As asyncio.start_server makes it, with a reader of our own."""
+    return asyncio.StreamReaderProtocol(CountingReader(loop), accepted, loop=loop)
+
+
 async def open_listener(accepted: Accepted, address: Address, shared: bool) -> Listening:
     """`shared`: another process of the same user may listen there as well. Raises NotListening."""
     try:
-        server = await asyncio.start_server(
-            accepted, address.host, address.port, backlog=ACCEPTS, reuse_port=shared or None
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: _protocol(loop, accepted),
+            address.host,
+            address.port,
+            backlog=ACCEPTS,
+            reuse_port=shared or None,
         )
     except OSError as error:
         reason = os.strerror(error.errno) if error.errno else str(error)
--- a/flintridge/net/memcache.py
+++ b/flintridge/net/memcache.py
@@ -383,6 +383,7 @@
         self._value: tuple[int, Answer] | None = None  # the length of a value that is still to come
         self._long: LongValue | None = None
         self.reusable = False
+        self.named = True
 
     @property
     def long(self) -> "LongValue | None":
@@ -448,6 +449,7 @@
         """The answer, or None when a value is to follow."""
         tokens = line.split(b" ")
         kind, flags = tokens[0], tokens[1:]
+        self.named = kind in (b"VA", b"HD", b"EN")  # the other lines hold no id
         if kind == b"SERVER_ERROR":
             busy = flags[:1] == [b"busy"]
             return Answer(Outcome.FULL if busy else Outcome.ERROR, load=self._load(flags[1:]))
@@ -489,6 +491,7 @@
         self._reader = AnswerReader()
         self._load: dict[str, float] = {}
         self.reusable = False
+        self.named = False
 
     def question(self) -> list[bytes | bytearray]:
         return [b"stats load\r\n"]
--- a/flintridge/net/origin.py
+++ b/flintridge/net/origin.py
@@ -86,6 +86,7 @@
 
     def __init__(self, http: HttpExchange) -> None:
         self._http = http
+        self.named = False  # HTTP itself has nothing that ties a response to its request
 
     @property
     def reusable(self) -> bool:
@@ -144,6 +145,7 @@
         if self.long is not None:
             return self.long.answer
         load = load_report(header(response, b"srv-load") or b"")
+        self.named = header(response, b"req-id") == self._id
         if header(response, b"req-id") not in (None, self._id):
             return Answer(Outcome.ERROR, spoilt=True)  # where an answer names its request, it must be this
         if response.status_code == 200:
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -3,18 +3,18 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from flintridge.api import Settings
 from flintridge.drain import Drain
 from flintridge.net import memcache
-from flintridge.net.clock import Clock, OutOfTime, sleep, within
+from flintridge.net.clock import Clock, OutOfTime, Timer, sleep, to_ms, within
 from flintridge.net.core import Core, IdInUse, needed
 from flintridge.net.counters import Counters
 from flintridge.net.envelope import Envelope, Gone, Served
 from flintridge.net.listen import Listening, open_listener
 from flintridge.net.log import EventLog
-from flintridge.net.streams import bound_reads
+from flintridge.net.streams import CountingReader, bound_reads, other_side_ended
 from flintridge.net.transport_map import TransportMap
 from flintridge.settings import Address
 
@@ -29,12 +29,14 @@
 UNUSED = 2_000.0  # a connection with no open request on it is closed after this
 SWEEP = 250.0
 BAD_COMMANDS = 4  # on one connection; it is closed upon the last of them
-PARTING = 500.0  # so long, and so much, is read past on a connection that is closed upon an error:
-PARTING_BYTES = 256 * 1024  # closed with input unread it would be reset, and the error with it
+PARTING = 500.0  # so long, and so much, is read past on a connection that is closed: with input unread it
+PARTING_BYTES = 256 * 1024  # would be reset, and what its client has not read yet lost
 PARTINGS = 4  # connections beyond the room, of the spare descriptors, that are read past before they end
 LAST_COMMANDS = 1_500.0  # after SIGTERM, until which commands that are half here may become whole
 LAST_BYTES = 3_000.0  # at the end, for answers that clients are still reading
 SERVING = 700.0  # after SIGTERM, until which what arrives is served
+LONGEST_WAIT = 3_000.0  # of what arrived until then, at most; after that the process may be killed
+LAST_MARGIN = 50.0  # before that, for the last answers to be written
 FIRST_WORD = 300.0  # for the first request of a connection that comes while others are closed
 
 
@@ -101,19 +103,23 @@
     def cut(self) -> None:
         """The end of the value is never written: what came is fewer bytes than its head said."""
         self._slot.passage = None
-        self._slot.connection.close()
-        self._slot.fill([])
+        self._slot.connection.cut()
 
 
 class SenderConnection:
-    """One client's connection."""
+    """One client's connection.
 
-    def __init__(
-        self, side: "SenderSide", reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    It ends in order (`close`): what was answered is written, the sending half shut, what still comes read
+    past within bounds, and only then is it closed. What was read before the shutdown is answered, what comes
+    after it never sent on: its client has no answer and sees the end, and sends it again elsewhere.
+    """
+
+    def __init__(self, side: "SenderSide", reader: CountingReader, writer: asyncio.StreamWriter) -> None:
         self._side = side
         self._reader = reader
         self._writer = writer
+        assert isinstance(writer.transport, asyncio.Transport)
+        self._transport = writer.transport
         self._parser = memcache.CommandParser(side.settings)
         self._slots: deque[Slot] = deque()
         self._moved = asyncio.Event()  # a slot became free
@@ -123,16 +129,26 @@
         self.heard = False  # any command did
         self._bad = 0
         self._ending = False
-        self._ceased = False  # nothing more is taken: the drain is nearly over
+        self._read = 0  # bytes that were taken from the reader
+        self._shut = False  # it ends: nothing more is written, nor taken
+        self._past = PARTING_BYTES  # bytes that may still be read past then
+        self._cut_off: Timer | None = None  # when that ends
+        self._gone = False  # its client has left, or it was closed
         self._taking = False  # commands that were read are being taken: there may be more of them
         self._kept = 0  # bytes of room for the long value that is coming
-        writer.transport.set_write_buffer_limits(high=AHEAD)
-        bound_reads(writer.transport)
+        self._transport.set_write_buffer_limits(high=AHEAD)
+        bound_reads(self._transport)
+        reader.ended = self._end
 
     @property
     def idle(self) -> bool:
         """Between requests: nothing is owed and nothing more has arrived, as far as was read."""
-        return not self.owed and self._parser.idle
+        return not self.owed and self._parser.idle and not self.unread
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have arrived that are still to be looked at."""
+        return self._reader.fed > self._read
 
     @property
     def owed(self) -> bool:
@@ -140,9 +156,22 @@
         return bool(self._slots) or self._taking
 
     def cease(self) -> None:
-        """Take nothing more but what is half here, and close after the answers that are owed."""
-        if self._parser.idle and not self._taking:
-            self._ceased = True
+        """Read nothing more but what is half here; it closes after the answers that are owed."""
+        if self._parser.idle and not self._taking and not self.unread and not self._shut:
+            self._transport.pause_reading()
+
+    def read_on(self) -> None:
+        """The drain that had it read no further was called off."""
+        if not self._shut:
+            self._transport.resume_reading()
+
+    def look(self) -> None:
+        """Guards what waits here against a client whose end lies behind bytes that nobody reads now."""
+        if not self.owed or self._gone or self._transport.is_reading():
+            return
+        if other_side_ended(self._transport):
+            self._side.counters.add("clients_left_unread")
+            self._end()
 
     def expire(self, now: float) -> None:
         """Close it if it has been of no use for too long: nothing asked, or half a command and no more.
@@ -150,7 +179,7 @@
         Guards the descriptors against clients that say nothing, by the hundred, or keep what they never
         use again. A client whose request crosses this sends it once more, on a new connection.
         """
-        if self.owed or self._ending or self._writer.is_closing():
+        if self.owed or self.unread or self._ending or self.closing:
             return
         if self._parser.idle:
             if now - self.used_at >= UNUSED:
@@ -167,22 +196,19 @@
 
     @property
     def closing(self) -> bool:
-        return self._writer.is_closing()
-
-    @property
-    def unwritten(self) -> bool:
-        return self._writer.transport.get_write_buffer_size() > 0
+        return self._shut or self._writer.is_closing()
 
     async def serve(self) -> None:
         try:
-            while data := await self._reader.read(65536):
-                if self._writer.is_closing():
-                    # Guards a request that crossed the close of an unused connection: its client sends it
-                    # again, and taken here as well it would run twice, and the second be told `id in use`.
-                    break
-                if self._ceased:
-                    await self._finish()
-                    return
+            while not self._gone and (data := await self._reader.read(65536)):
+                self._read += len(data)
+                if self._shut:
+                    # Guards a request that crossed the close of its connection: its client sends it again,
+                    # and taken here as well it would run twice, and the second be told `id in use`.
+                    self._past -= len(data)
+                    if self._past <= 0:
+                        return
+                    continue
                 self.used_at = self._side.clock.now()
                 if self._parser.idle:
                     self.begun_at = self.used_at
@@ -195,13 +221,12 @@
                 self._taking = False
                 if not going_on:  # what is behind it is not taken: it may make place
                     await self._finish()
-                    return
-                if self._side.ceasing:
+                elif self._side.ceasing:
                     self.cease()
                 self._side.between_requests(self)
         except OutOfTime:
             self._side.counters.add("slow_readers")
-            self._writer.transport.abort()
+            self._transport.abort()
         except OSError:
             pass  # the client's end of the connection: gone like any other
         finally:
@@ -216,27 +241,26 @@
         while len(self._slots) >= PIPELINED:
             self._moved.clear()
             await self._moved.wait()
-        if self._writer.transport.get_write_buffer_size() > UNREAD:
+        if self._transport.get_write_buffer_size() > UNREAD:
             await self.read_enough()
 
     async def read_enough(self) -> None:
         """Until the client has read most of what was written. Raises OutOfTime where it reads nothing at all,
         OSError where the connection has ended."""
-        transport = self._writer.transport
         while True:
-            if transport.is_closing():
+            if self._transport.is_closing():
                 raise ConnectionResetError("the connection was closed")
-            unread = transport.get_write_buffer_size()
+            unread = self._transport.get_write_buffer_size()
             try:
                 await within(self._side.clock, SLOW_READER, self._writer.drain())
                 return
             except OutOfTime:
-                if transport.get_write_buffer_size() >= unread:
+                if self._transport.get_write_buffer_size() >= unread:
                     raise
 
     async def _take_all(self, commands: deque[memcache.Command]) -> bool:
         """Whether the connection goes on."""
-        while commands:
+        while commands and not self._gone:  # of a client that has left nothing more is taken
             command = commands.popleft()
             if isinstance(command, memcache.Announced):
                 # Nothing is read while it waits: the client's own buffers hold it up.
@@ -293,14 +317,14 @@
             parts += answer
             self._slots.popleft()
             self._moved.set()
-        if parts and not self._writer.is_closing():
+        if parts and not self.closing:
             self.write(parts)
             self._side.between_requests(self)
         if self._slots and (passage := self._slots[0].passage) is not None:
             passage.turn()
 
     def write(self, parts: list[bytes]) -> None:
-        if not self._writer.is_closing():
+        if not self.closing:
             self._writer.writelines(parts)
             self.used_at = self._side.clock.now()
 
@@ -310,32 +334,91 @@
         while self._slots:
             self._moved.clear()
             await self._moved.wait()
-        await self.read_enough()
-        with contextlib.suppress(OutOfTime):
-            await within(self._side.clock, PARTING, part(self._reader, self._writer))
-
-    def _end(self) -> None:
-        slots, self._slots = self._slots, deque()
-        for slot in slots:
-            if slot.uid is not None and slot.parts is None:
-                self._side.core.gone(slot.uid)
-            if slot.passage is not None:
-                slot.passage.turn()
-        kept, self._kept = self._kept, 0
-        self._side.core.room.give(kept)
         self.close()
 
     def make_place(self) -> None:
         """Close it for another one. One that never asked is refused, as its first request may be coming; a
         client whose connection had served sends its next one again."""
         # One that is parted from was told its error, and nothing more may be written to it.
-        if not self.asked and not self._ending and not self._writer.is_closing():
+        if not self.asked and not self._ending and not self.closing:
             self._writer.writelines(memcache.defer_parts(0.0))
         self.close()
 
+    # Its end
+
     def close(self) -> None:
+        """End it in order. Nothing may be owed on it, but what was written may still wait to go out."""
+        if self.closing:
+            return
+        self._shut = True
+        self._parser = memcache.CommandParser(self._side.settings)  # what is half here holds memory
+        self._give_room()
+        self._transport.pause_reading()  # what is read before the shutdown would be owed an answer
+        if self._transport.get_write_buffer_size():
+            self._side.track(self._shut_when_written())
+        else:
+            self._shut_down()
+
+    async def _shut_when_written(self) -> None:
+        self._transport.set_write_buffer_limits(high=0)  # `drain` waits until all is written
+        try:
+            await self.read_enough()
+        except OutOfTime:
+            self._side.counters.add("slow_readers")
+            self._transport.abort()
+        except OSError:
+            pass  # it has ended: gone like any other
+        else:
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        if self._writer.is_closing():
+            return
+        try:
+            self._writer.write_eof()
+        except OSError:  # its client has reset it
+            self.cut_short()
+            return
+        self._cut_off = self._side.clock.call_at(self._side.clock.now() + PARTING, self.cut_short)
+        self._transport.resume_reading()
+
+    def cut(self) -> None:
+        """End it in the middle of a value: no answer behind that can be told any more."""
+        self._drop()
+        self.close()
+
+    def cut_short(self) -> None:
+        """Close it now: its client has had its time, or there is none to give."""
         self._writer.close()
 
+    def _end(self) -> None:
+        """Its client has left, or it is closed: nothing is owed any more, and nothing more is sent on.
+
+        Called the moment the end is seen, whatever still waits to be taken or answered.
+        """
+        if self._gone:
+            return
+        self._gone = True
+        if self._cut_off is not None:
+            self._cut_off.cancel()
+        self._drop()
+        self._moved.set()
+        self.cut_short()
+
+    def _drop(self) -> None:
+        """Give up what is owed."""
+        slots, self._slots = self._slots, deque()
+        for slot in slots:
+            if slot.uid is not None and slot.parts is None:
+                self._side.core.gone(slot.uid)
+            if slot.passage is not None:
+                slot.passage.turn()
+        self._give_room()
+
+    def _give_room(self) -> None:
+        kept, self._kept = self._kept, 0
+        self._side.core.room.give(kept)
+
 
 async def part(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Read past what the client still sends, for a little: its end, or that it goes on at full speed."""
@@ -370,6 +453,8 @@
         # A dict, not a set: it is walked in the order of arrival, and two nodes given the same do the same.
         self._connections: dict[SenderConnection, None] = {}
         self._partings = 0
+        self._beyond: dict[SenderConnection, None] = {}  # made place, and are still parted from
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self.ready: Callable[[], bool] = lambda: True  # what else has to be, before `mn` is answered
         self._sweep_timer = clock.call_at(clock.now() + SWEEP, self._sweep)
 
@@ -404,6 +489,7 @@
             await self._turn_away(reader, writer)
             return
         self.counters.add("connections_accepted")
+        assert isinstance(reader, CountingReader)
         connection = SenderConnection(self, reader, writer)
         self._connections[connection] = None
         try:
@@ -413,8 +499,15 @@
             self._log.error("connection_broke", error)
         finally:
             self._connections.pop(connection, None)
+            self._beyond.pop(connection, None)
             self._emptied()
 
+    def track(self, work: Coroutine[None, None, None]) -> None:
+        """Have it done beside all else; the event loop itself would forget it."""
+        task = asyncio.ensure_future(work)
+        self._tasks[task] = None
+        task.add_done_callback(self._tasks.pop)
+
     async def _turn_away(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """No room: say so, and close.
 
@@ -425,6 +518,7 @@
         writer.writelines(memcache.defer_parts(0.0))
         if self._partings < PARTINGS:
             self._partings += 1
+            self._bound_partings()
             try:
                 with contextlib.suppress(OutOfTime, OSError):
                     await within(self.clock, PARTING, part(reader, writer))
@@ -439,19 +533,29 @@
         closed between requests sends its next one again. With the place full of idle ones that had asked,
         each new connection was closed for the next, and hardly a request arrived.
         """
-        unused = [c for c in self._connections if not c.owed and (c.idle or not c.asked)]
+        unused = [c for c in self._connections if c.closing or (not c.owed and (c.idle or not c.asked))]
         if not unused:
             return False
-        oldest = min(unused, key=lambda c: (not c.asked, c.used_at))
+        oldest = min(unused, key=lambda c: (not c.closing, not c.asked, c.used_at))
         self.counters.add("connections_made_place")
         self._connections.pop(oldest, None)
+        self._beyond[oldest] = None
         oldest.make_place()
+        self._bound_partings()
         return True
 
+    def _bound_partings(self) -> None:
+        """Guards the spare descriptors: what made place yields to what was turned away and may be asking."""
+        while self._beyond and self._partings + len(self._beyond) > PARTINGS:
+            first = next(iter(self._beyond))
+            del self._beyond[first]
+            first.cut_short()
+
     def _sweep(self) -> None:
         now = self.clock.now()
         self._sweep_timer = self.clock.call_at(now + SWEEP, self._sweep)
         for connection in list(self._connections):
+            connection.look()
             connection.expire(now)
             self.between_requests(connection)
         self._emptied()
@@ -476,6 +580,11 @@
         for at in self.drain.due(self.clock.now()):
             self.clock.call_at(at, self._part)
 
+    def resumed(self) -> None:
+        """The service goes on after all: what was read no further is read on."""
+        for connection in list(self._connections):
+            connection.read_on()
+
     def _part(self) -> None:
         for connection in list(self._connections):
             if self.ceasing:
@@ -490,6 +599,10 @@
     async def leave(self) -> None:
         """After SIGTERM: serve on for a while, then close each connection between requests; answer all."""
         self.drain.leave(self.clock.now())
+        # What comes later than SERVING must have its answer before the process may be killed, which is as
+        # long after SERVING as any class waits.
+        longest = max((to_ms(cls.deadline_ns) for cls in self.settings.classes), default=LONGEST_WAIT)
+        self.core.answer_by = self.clock.now() + SERVING + min(LONGEST_WAIT, longest) - LAST_MARGIN
         self.ending()
         await sleep(self.clock, SERVING)
         if self._listening is not None:
@@ -507,9 +620,9 @@
                     break
             await sleep(self.clock, 20.0)
         for connection in list(self._connections):
-            connection.close()  # what was answered is still written out
+            connection.close()  # what was answered is still written out, and read past what crosses it
         until = self.clock.now() + LAST_BYTES
-        while any(c.unwritten for c in self._connections) and self.clock.now() < until:
+        while (self._connections or self._beyond) and self.clock.now() < until:
             await sleep(self.clock, 20.0)
 
     def close(self) -> None:
@@ -517,5 +630,7 @@
         self._sweep_timer.cancel()
         if self._listening is not None:
             self._listening.close()
-        for connection in list(self._connections):
-            connection.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for connection in [*self._connections, *self._beyond]:
+            connection.cut_short()
--- a/flintridge/net/streams.py
+++ b/flintridge/net/streams.py
@@ -1,8 +1,11 @@
-"""What all streams of a node have in common: how much they take at a time."""
+"""What all streams of a node have in common: how much they take at a time, and how the end is seen."""
 
 import asyncio
+import select
+from collections.abc import Callable
 
 READ = 32 * 1024  # bytes taken from a connection at a time; up to twice as many may wait on it
+ENDED = getattr(select, "POLLRDHUP", 0)  # 0 where the system does not tell: then only what is read tells
 
 
 def bound_reads(transport: asyncio.BaseTransport) -> None:
@@ -10,3 +13,51 @@
     whatever number of connections they wait."""
     if hasattr(transport, "max_size"):
         transport.max_size = READ
+
+
+class CountingReader(asyncio.StreamReader):
+    """Counts the bytes that arrive, and tells at once of the end, though bytes before it are still unread.
+
+    Guards against an end seen only when somebody reads that far: of a client that left while its requests
+    wait, of a connection closed while a request lies in it.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, limit: int = 64 * 1024) -> None:
+        super().__init__(limit=limit, loop=loop)
+        self.fed = 0
+        self.ended: Callable[[], None] | None = None  # called at the end, and again should more tell of it
+
+    def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # what transports hand over
+        self.fed += len(data)
+        super().feed_data(data)
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        if self.ended is not None:
+            self.ended()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        if self.ended is not None:
+            self.ended()
+
+
+def _events(transport: asyncio.BaseTransport, wanted: int) -> int:
+    opened = transport.get_extra_info("socket")
+    number = -1 if opened is None else opened.fileno()
+    if number < 0:
+        return 0
+    poll = select.poll()
+    poll.register(number, wanted)
+    return sum(events for _, events in poll.poll(0))
+
+
+def other_side_ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended its sending or reset the connection, also behind bytes that nobody
+    has read yet."""
+    return _events(transport, ENDED) != 0
+
+
+def holds_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Whether the system holds bytes of a connection, or its end, that the event loop has not come to yet."""
+    return _events(transport, select.POLLIN | ENDED) != 0
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -258,6 +258,7 @@
         if not self.drain.resume(self.clock.now()):
             return False
         self.counters.add("resumes")
+        self.side.resumed()
         self.log.event("resumed", connections=self.side.connections)
         return True
 
--- a/flintridge/settings.py
+++ b/flintridge/settings.py
@@ -141,8 +141,9 @@
     return None if text is None or text == "" else Address.parse(text)
 
 
-# Descriptors for the listener, discovery, the event loop, the log, and connections on their way in.
-SPARE = 24
+# Descriptors for the listener, discovery, the event loop, the log, connections on their way in, and those
+# beyond the room that are still read past: in a burst up to 16 are accepted before the first of them is seen.
+SPARE = 32
 CONSOLE_PLACES = 12  # callers at a time, and descriptors beyond those, where there is a console
 PEER_PLACES = 8  # datagrams, exchanges both ways and their listener, where there are peers
 # Of the others, for clients: their requests need a third of all, and each of these an attempt or two. What is
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,7 +11,7 @@
 from flintridge.drain import CEASE, LINGER, Drain, State
 from flintridge.lab import virtual
 from flintridge.net.core import Core
-from flintridge.net.sender import FIRST_WORD, SenderSide
+from flintridge.net.sender import FIRST_WORD, PARTING, SenderSide
 from flintridge.net.transport_map import TransportMap
 from flintridge.settings import Address
 
@@ -139,6 +139,9 @@
         s.answer("r2")
         assert await late.read() == b"SERVER_ERROR failed\r\n"
         late_writer.close()
+        await settle()
+        assert s.drain.state is State.DRAINING  # two have not closed their half
+        s.clock.go(PARTING)
         await until(lambda: s.drain.state is State.DRAINED)
         visitor, _ = await s.client(READ % b"r3")  # answered, not dropped
         s.answer("r3")
