--- a/flintridge/lab/backend/virtual.py
+++ b/flintridge/lab/backend/virtual.py
@@ -211,7 +211,9 @@
         """What the daemon's main does, on this host."""
         loop = asyncio.get_running_loop()
         ending = asyncio.Event()
+        early: list[int] = []
         loop.add_signal_handler(signal.SIGTERM, ending.set)
+        loop.add_signal_handler(signal.SIGHUP, early.append, signal.SIGHUP)
         loop.set_exception_handler(lambda _, said: _unhandled(life, said))
         code, text = 1, ""
         try:
@@ -228,6 +230,8 @@
             if self._plant is not None:
                 self._plant(node)
             await node.start()
+            if early:
+                self._read_again(name, life)
             await ending.wait()
             await node.leave()
             code = 0
--- a/flintridge/lab/judge/rules/fleet.py
+++ b/flintridge/lab/judge/rules/fleet.py
@@ -46,12 +46,15 @@
                 if server not in listed:
                     self.out.setdefault(server, told)
 
-    def out_since(self, server: str) -> Told | None:
+    def out_since(self, server: str, started: float) -> Told | None:
         """What told first that a server is out, if nothing told otherwise since.
 
-        One that no list ever named, as an old list may have had it, is out since the first complete one.
+        One that no list ever named, as an old list may have had it, is out since the first complete one; not
+        if it `started` later: what reached it was sent to the one that had its address before.
         """
-        return self.out.get(server) if server in self.named else self.complete
+        if server in self.named:
+            return self.out.get(server)
+        return self.complete if self.complete is not None and started < self.complete.t else None
 
 
 def _drains(day: Day, findings: Findings) -> None:
@@ -64,7 +67,9 @@
             case NodeSaid(state="started"):
                 heard[record.node] = Heard()
             case Attempt():
-                told = heard[record.node].out_since(record.server) if record.node in heard else None
+                starts = day.starts.get(record.server)
+                started = starts[0].t if starts else -math.inf
+                told = heard[record.node].out_since(record.server, started) if record.node in heard else None
                 if told is not None and record.began > told.t + grace + TINY_MS:
                     _drain_broken(record, told, findings)
 
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -71,6 +71,10 @@
     return r.Told(t=t, node="n0", revision=1, complete=complete, members=members, **more)
 
 
+def started(t, server="s1") -> r.ServerSaid:
+    return r.ServerSaid(t=t, server=server, state="started", zone="a")
+
+
 def broken(log, backend="virtual", **changes) -> dict[str, int]:
     """The broken rules; each with its proof."""
     day = [*log, end()]
@@ -185,6 +189,9 @@
         ([told(0, "terminating"), told(9, "in_service"), *served(2010)], set()),
         ([told(-9, "in_service"), told(0, "in_service", True, server="s2"), *served(2010)], {"drain"}),
         ([told(0, "in_service", True, server="s2"), *served(2010)], {"drain"}),
+        # never listed, and started since: what reached it was sent to the one that had its address before
+        ([started(1), told(0, "in_service", True, server="s2"), *served(2010)], set()),
+        ([started(-1), told(0, "in_service", True, server="s2"), *served(2010)], {"drain"}),
         ([told(0, "in_service", server="s2"), *served(2010)], set()),
         ([told(0, "terminating"), said(5, "started"), *served(2010)], set()),
         # processes
