Look at discovery's connection before it is used again, and ask an agent again soon

Found in review. A kept connection to discovery was used again whatever lay in it: a second copy of a list, read as the next call's answer, made a draining server ready again until it changed once more. It is now looked at as connections to servers are, in the reader and in the kernel (test: a second list, the end, a reset, each in the kernel as the next call falls due). Where lists are pushed what discovery gets at its return counts as told at that moment, but after some failures the module waited up to 4 s before it asked, longer than a grace may be. There the pause stays at 0.25 to 0.5 s; where it is asked, nothing changes. Both tests were seen to fail with the mend taken out. A time-out in the step in which the answer or the connection comes has its test too; it held before.

--- a/flintridge/decide.py
+++ b/flintridge/decide.py
@@ -214,7 +214,7 @@
         self.quotas = {i: even * tenant.quota_per_s for i, tenant in enumerate(settings.tenants)}
         self.spare = 1.0  # part of what is beyond quotas that is let in
         self.holdings = api.Holdings()
-        self.watch_failures = 0
+        self.asks, self.watch_failures = settings.discovery is api.Discovery.ON_REQUEST, 0
         self.handlers = {
             api.MemberList: self.on_list,
             api.Request: self.on_request,
@@ -238,7 +238,7 @@
     def on_list(self, event: api.MemberList) -> None:
         if event.kind is ListKind.FAILED:
             self.watch_failures += 1
-            pause = 500 * MS * 2 ** min(self.watch_failures - 1, 3)
+            pause = 500 * MS * 2 ** min(self.watch_failures - 1, 3 * self.asks)  # pushed: told at once
             at = self.now + int(pause * self.random.uniform(0.5, 1))
             self.timer(at, lambda: self.out.append(api.Watch()))
             return
@@ -262,7 +262,7 @@
         self.build_ring()
         for server in [s for s, known in self.servers.items() if known.member.state is MemberState.GONE]:
             self.drop(server)
-        if event.kind is ListKind.CACHED and self.settings.discovery is api.Discovery.ON_REQUEST:
+        if event.kind is ListKind.CACHED and self.asks:
             self.out.append(api.Watch())
 
     def drop(self, server: str) -> None:
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -17,7 +17,7 @@
 from flintridge.net.log import EventLog
 from flintridge.net.memcache import CacheExchange, CacheProbe
 from flintridge.net.origin import OriginExchange, OriginProbe
-from flintridge.net.streams import READ, CountingReader, bound_reads, holds_bytes
+from flintridge.net.streams import READ, CountingReader, holds_bytes, open_stream
 from flintridge.net.transport_map import Transport, TransportMap
 from flintridge.settings import Address
 
@@ -130,13 +130,8 @@
 
 
 async def _open(address: Address) -> tuple[LinkReader, asyncio.StreamWriter]:
-    """As asyncio.open_connection does it, with a reader of our own."""
-    loop = asyncio.get_running_loop()
-    reader = LinkReader(loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, address.host, address.port)
-    bound_reads(transport)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    reader = LinkReader(asyncio.get_running_loop())
+    return reader, await open_stream(reader, address.host, address.port)
 
 
 class Delivery:
--- a/flintridge/net/streams.py
+++ b/flintridge/net/streams.py
@@ -42,6 +42,15 @@
             self.ended()
 
 
+async def open_stream(reader: CountingReader, host: str, port: int) -> asyncio.StreamWriter:
+    """As asyncio.open_connection does it, with a reader of our own. Raises OSError."""
+    loop = asyncio.get_running_loop()
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    bound_reads(transport)
+    return asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 def _events(transport: asyncio.BaseTransport, wanted: int) -> int:
     opened = transport.get_extra_info("socket")
     number = -1 if opened is None else opened.fileno()
--- a/flintridge/net/transport_map.py
+++ b/flintridge/net/transport_map.py
@@ -13,6 +13,7 @@
 from flintridge.net.counters import Counters
 from flintridge.net.log import EventLog
 from flintridge.net.origin import HttpExchange
+from flintridge.net.streams import CountingReader, holds_bytes, open_stream
 from flintridge.settings import Address, ConfigError, NodeConfig
 
 PHASES = {
@@ -302,19 +303,25 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._streams: tuple[CountingReader, asyncio.StreamWriter] | None = None
+        self._read = 0  # bytes
 
     async def get(self, target: str) -> bytes:
-        if self._streams is not None and (self._streams[0].at_eof() or self._streams[1].is_closing()):
+        if self._streams is not None and self._stale(*self._streams):
             self.close()
         if self._streams is None:
-            self._streams = await asyncio.open_connection(self._address.host, self._address.port)
+            reader, self._read = CountingReader(asyncio.get_running_loop()), 0
+            self._streams = reader, await open_stream(reader, self._address.host, self._address.port)
         reader, writer = self._streams
         host = f"{self._address.host}:{self._address.port}".encode()
         exchange = HttpExchange(b"GET", target.encode(), [(b"Host", host)], limit=MAX_LIST)
         writer.writelines(exchange.question())
         await writer.drain()
-        while (found := exchange.feed(data := await reader.read(65536))) is None:
+        while True:
+            data = await reader.read(65536)
+            self._read += len(data)
+            if (found := exchange.feed(data)) is not None:
+                break
             if not data:
                 raise ConnectionResetError("discovery ended the connection")
         if not exchange.reusable:
@@ -324,6 +331,11 @@
             raise ValueError(f"discovery answered {response.status_code}")
         return body
 
+    def _stale(self, reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
+        """Whether it has ended, or holds bytes of no call: an old list would undo what came since."""
+        unread = reader.fed != self._read or holds_bytes(writer.transport)
+        return unread or reader.at_eof() or writer.is_closing()
+
     def close(self) -> None:
         if self._streams is not None:
             self._streams[1].close()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -131,6 +131,53 @@
     play(test)
 
 
+@pytest.mark.parametrize("crossing", [http(whole(1, s1="in_service")), b"", "rst"])
+def test_a_second_list_or_an_end_between_two_watch_calls_undoes_nothing(crossing):
+    """It lies in the kernel as the next call goes out; read as its answer it would undo the drain before."""
+
+    async def test():
+        settings = api.Settings(discovery=api.Discovery.ON_REQUEST)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        place = type("Place", (), {"port": listener.getsockname()[1]})
+        alone = Alone(place, whole(1, s1="in_service"), settings)
+        loop = asyncio.get_running_loop()
+        await alone.node.start()
+        first, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(first, 4096)
+        first.send(http(whole(2, s1="terminating")))
+        await until(lambda: alone.state("s1") is MemberState.DRAINING)
+        if crossing == "rst":
+            gone_with_a_reset(first)
+        elif crossing:
+            first.send(crossing)
+        else:
+            first.shutdown(socket.SHUT_WR)
+        alone.clock.go(150)  # the next call is due, with no turn of the loop since
+        second, _ = await loop.sock_accept(listener)
+        assert b"after=2&" in await loop.sock_recv(second, 4096)
+        assert alone.state("s1") is MemberState.DRAINING
+        assert alone.node.counters["transport_map_failures"] == 0
+        await alone.node.close()
+        for one in (first, second, listener):
+            one.close()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(("discovery", "longest"), [("pushed", 500), ("on_request", 4_000)])
+def test_after_discovery_was_down_the_next_call_is_soon_where_it_counts_at_once(discovery, longest):
+    """Where lists are pushed, what the agent gets at its return counts as told at that moment."""
+    router = Router(discovery=api.Discovery(discovery))
+    pauses = []
+    for _ in range(8):
+        actions = router.tell(api.MemberList(api.ListKind.FAILED))
+        (timer,) = [action for action in actions if isinstance(action, api.SetTimer)]
+        pauses.append((timer.at - router.now) / MS)
+        router.now = timer.at
+    assert longest / 2 <= max(pauses) <= longest and min(pauses) >= 250
+
+
 def test_without_discovery_a_node_goes_by_the_list_it_had_and_asks_on(play):
     async def test():
         settings = api.Settings(discovery=api.Discovery.PUSHED)
@@ -597,6 +644,38 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("what", ["answer", "connection"])
+def test_a_time_out_in_the_step_in_which_the_answer_or_the_connection_comes(play, monkeypatch, what):
+    """One end of the attempt, and its descriptor is free once."""
+
+    async def test():
+        async with Peer(lambda _: VALUE) as peer:
+            bench = Bench(peer.port, monkeypatch=monkeypatch)
+            if what == "answer":
+                feed = delivery.LinkReader.feed_data
+
+                def crossing(reader, data: bytes) -> None:
+                    feed(reader, data)
+                    bench.clock.go(400)
+
+                monkeypatch.setattr(delivery.LinkReader, "feed_data", crossing)
+                bench.up.set()
+                await bench.carry()
+            else:
+                await bench.carry()
+                await until(lambda: bench.asked == 1)
+                bench.up.set()
+                bench.clock.go(250)
+            await until(lambda: bench.ended)
+            await turns()
+            expected = Outcome.TIMEOUT if what == "answer" else Outcome.CONNECT_FAILED
+            assert [answer.outcome for answer in bench.ended] == [expected]
+            assert bench.delivery._open == 0 and not bench.delivery._idle and not bench.delivery._tasks
+            await bench.delivery.close()
+
+    play(test)
+
+
 @pytest.mark.parametrize("crossing", [b"VA 2 O", VALUE, b"", "rst"])
 def test_bytes_or_an_end_that_came_in_this_moment_are_seen_before_a_connection_is_used_again(crossing):
     """Half a line, a second answer, the end, a reset: in the kernel, and not yet seen by the event loop."""
