--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -178,6 +178,34 @@
     assert longest / 2 <= max(pauses) <= longest and min(pauses) >= 250
 
 
+def test_a_list_that_holds_nothing_is_believed_and_the_next_one_too(play):
+    """No server may be sent to, so requests are refused in time and `mn` says no."""
+
+    async def test():
+        settings = api.Settings(discovery=api.Discovery.ON_REQUEST)
+        async with Peer(lambda _: b"") as discovery:
+            alone = Alone(discovery, whole(1, s1="in_service"), settings)
+            port = await alone.node.start()
+            await until(lambda: discovery.got)
+            discovery.writers[0].write(http(whole(2)))
+            await until(lambda: alone.state("s1") is None)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"mn\r\nmg key7 v Oa1 P\r\n")
+            assert await reader.readline() == b"SERVER_ERROR starting\r\n"
+            await until(lambda: alone.node.core.unanswered == 1)
+            await alone.pass_until(lambda: alone.node.core.idle, 2_000)
+            assert (await reader.readline()).startswith(b"SERVER_ERROR busy")
+            await alone.pass_until(lambda: len(discovery.got) == 2, 200)
+            discovery.writers[0].write(http(whole(3, s1="in_service")))
+            await until(lambda: alone.state("s1") is MemberState.READY)
+            writer.write(b"mn\r\n")
+            assert await reader.readline() == b"MN\r\n"
+            writer.close()
+            await alone.node.close()
+
+    play(test)
+
+
 def test_without_discovery_a_node_goes_by_the_list_it_had_and_asks_on(play):
     async def test():
         settings = api.Settings(discovery=api.Discovery.PUSHED)
