--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -230,7 +230,8 @@
         except NoRoom:
             self._counters.add("attempts_no_room")
             answer = Answer(Outcome.MOOT)  # never sent, and no sign of its server
-        except OSError:
+        except OSError as error:
+            error.with_traceback(None)  # the link's reader keeps it, and with its frames link and value
             if link is not None and link.asked:
                 # One kept for a while that ends without a byte had ended before, which nobody said.
                 stale = link.unanswered and link.aged >= AGED
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -227,8 +227,8 @@
         except OutOfTime:
             self._side.counters.add("slow_readers")
             self._transport.abort()
-        except OSError:
-            pass  # the client's end of the connection: gone like any other
+        except OSError as error:  # the client's end of the connection: gone like any other
+            error.with_traceback(None)  # the reader keeps it, and with its frames this connection
         finally:
             self._end()
 
@@ -399,6 +399,8 @@
         if self._gone:
             return
         self._gone = True
+        # Guards memory: the two would hold one another until the collector comes, seldom on a long day.
+        self._reader.ended = None
         if self._cut_off is not None:
             self._cut_off.cancel()
         self._drop()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import contextlib
+import gc
 import math
 import os
 import signal
 import socket
 import struct
+import weakref
 
 import orjson
 import pytest
@@ -483,6 +485,31 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("leave", [socket.socket.close, gone_with_a_reset])
+def test_a_connection_that_ended_is_freed_without_the_collector(leave):
+    """Found on the long day: 20 MB in place of 18, as each held its reader and the reader it."""
+
+    async def test():
+        async with Side() as s:
+            client = await s.client(READ % b"r0")
+            await until(lambda: s.requests == 1)
+            held = weakref.ref(next(iter(s.side._connections)))
+            s.core._overdue("r0")
+            await turns()
+            if leave is not gone_with_a_reset:  # closed over an unread answer it would reset as well
+                assert client.recv(100) == FAILED
+            leave(client)
+            await until(lambda: not s.side._connections)
+            await until(lambda: held() is None)
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(test())
+    finally:
+        gc.enable()
+
+
 def test_what_comes_after_sigterm_is_answered_before_the_process_may_be_killed(play):
     """With a class that waits for 2 s and one for 3 s the end may come 3.7 s after SIGTERM."""
 
@@ -672,6 +699,29 @@
     asyncio.run(test())
 
 
+def test_an_attempt_that_was_reset_is_freed_without_the_collector():
+    """Its value may be 4 MiB."""
+
+    async def test():
+        async with Peer(lambda _: "rst") as peer:
+            bench = Bench(peer.port)
+            await bench.carry(value=b"x")
+            await until(lambda: bench.links)
+            held = weakref.ref(next(iter(bench.links)).writer)
+            await until(lambda: bench.ended)
+            assert bench.ended[0].outcome is Outcome.RESET
+            bench.links.clear()
+            await until(lambda: held() is None)
+            await bench.delivery.close()
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(test())
+    finally:
+        gc.enable()
+
+
 @pytest.mark.parametrize("what", ["answer", "connection"])
 def test_a_time_out_in_the_step_in_which_the_answer_or_the_connection_comes(play, monkeypatch, what):
     """One end of the attempt, and its descriptor is free once."""
