--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -703,16 +703,20 @@
     """Its value may be 4 MiB."""
 
     async def test():
-        async with Peer(lambda _: "rst") as peer:
-            bench = Bench(peer.port)
-            await bench.carry(value=b"x")
-            await until(lambda: bench.links)
-            held = weakref.ref(next(iter(bench.links)).writer)
-            await until(lambda: bench.ended)
-            assert bench.ended[0].outcome is Outcome.RESET
-            bench.links.clear()
-            await until(lambda: held() is None)
-            await bench.delivery.close()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        bench = Bench(listener.getsockname()[1])
+        await bench.carry(value=b"x")
+        server, _ = await asyncio.get_running_loop().sock_accept(listener)
+        await asyncio.get_running_loop().sock_recv(server, 4096)
+        held = weakref.ref(next(iter(bench.links)).writer)
+        gone_with_a_reset(server)
+        await until(lambda: bench.ended)
+        assert bench.ended[0].outcome is Outcome.RESET
+        bench.links.clear()
+        await until(lambda: held() is None)
+        await bench.delivery.close()
+        listener.close()
 
     gc.collect()
     gc.disable()
