--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -44,6 +44,15 @@
     return lambda test: run(test())
 
 
+@pytest.fixture
+def no_collector():
+    """What is freed in the test is freed by its references alone."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
 def whole(revision: int, **phases: str) -> dict:
     """Discovery's list, by ids and phases."""
     members = [
@@ -486,7 +495,7 @@
 
 
 @pytest.mark.parametrize("leave", [socket.socket.close, gone_with_a_reset])
-def test_a_connection_that_ended_is_freed_without_the_collector(leave):
+def test_a_connection_that_ended_is_freed_without_the_collector(no_collector, leave):
     """Found on the long day: 20 MB in place of 18, as each held its reader and the reader it."""
 
     async def test():
@@ -502,12 +511,7 @@
             await until(lambda: not s.side._connections)
             await until(lambda: held() is None)
 
-    gc.collect()
-    gc.disable()
-    try:
-        asyncio.run(test())
-    finally:
-        gc.enable()
+    asyncio.run(test())
 
 
 def test_what_comes_after_sigterm_is_answered_before_the_process_may_be_killed(play):
@@ -699,7 +703,7 @@
     asyncio.run(test())
 
 
-def test_an_attempt_that_was_reset_is_freed_without_the_collector():
+def test_an_attempt_that_was_reset_is_freed_without_the_collector(no_collector):
     """Its value may be 4 MiB."""
 
     async def test():
@@ -718,12 +722,7 @@
         await bench.delivery.close()
         listener.close()
 
-    gc.collect()
-    gc.disable()
-    try:
-        asyncio.run(test())
-    finally:
-        gc.enable()
+    asyncio.run(test())
 
 
 @pytest.mark.parametrize("what", ["answer", "connection"])
