Tell the origin what is left of the client's time, as caches are told

OriginExchange passed `Req-Extra` on as it arrived, `d` and all, after whatever the cache and the wait had taken; CacheExchange wrote what is left. Change: `Envelope.extras_told` writes the list for both exchanges.

--- a/flintridge/lab/judge/rules/contents.py
+++ b/flintridge/lab/judge/rules/contents.py
@@ -57,8 +57,7 @@
         wrong.append(f"value {record.digest} for {asked.digest}")
     if record.idem != asked.idem:
         wrong.append(f"idempotency key {record.idem!r} for {asked.idem!r}")
-    # The origin is given the list of names and values as it arrived: only caches are told what is left.
-    if not record.origin and (more := _too_long(day, taken, sent)) is not None:
+    if (more := _too_long(day, taken, sent)) is not None:
         wrong.append(f"{more:.1f} ms more to wait than the client had left")
     if wrong:
         text = f"{record.node} passed {this.uid} on to {record.server} with {', '.join(wrong)}"
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -275,9 +275,11 @@
                 passage.cut()
 
     def _exchange(self, attempt: DeliveryAttempt, transport: Transport) -> Exchange:
+        left = attempt.until - self._clock.now()
         if transport.origin:
-            return OriginExchange(attempt.envelope, f"{transport.address.host}:{transport.address.port}")
-        return CacheExchange(attempt.envelope, attempt.until - self._clock.now())
+            host = f"{transport.address.host}:{transport.address.port}"
+            return OriginExchange(attempt.envelope, host, left)
+        return CacheExchange(attempt.envelope, left)
 
     async def _probe(self, server: str, done: Callable[[Answer], None]) -> None:
         link: Link | None = None
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -28,6 +28,17 @@
     def write(self) -> bool:
         return self.value is not None
 
+    def extras_told(self, wait_ms: float) -> list[bytes]:
+        """`extras` for a server, in parts: the time to wait is `wait_ms`, what is left of the client's.
+
+        Guards servers, the origin as well, against work for a client that will be gone: a further attempt
+        begins late in its client's time. Where the client told no time, none is told.
+        """
+        if self.wait_span is None:
+            return [self.extras]
+        start, end = self.wait_span
+        return [self.extras[:start], b"%d" % max(1, wait_ms), self.extras[end:]]
+
 
 @dataclass(slots=True, frozen=True)
 class Served:
--- a/flintridge/net/memcache.py
+++ b/flintridge/net/memcache.py
@@ -392,13 +392,7 @@
 
     def question(self) -> list[bytes | bytearray]:
         e = self._envelope
-        wait = b"%d" % max(1, self._wait_ms)
-        if e.wait_span is None:
-            extras = [e.extras]
-        else:
-            start, end = e.wait_span
-            extras = [e.extras[:start], wait, e.extras[end:]]
-        listed = [b" P", *extras] if e.extras else []
+        listed = [b" P", *e.extras_told(self._wait_ms)] if e.extras else []
         if e.value is None:
             return [b"mg ", e.key, b" v O", e.id, *listed, EOL]
         return [b"ms ", e.key, b" %d O" % len(e.value), e.id, *listed, EOL, e.value, EOL]
--- a/flintridge/net/origin.py
+++ b/flintridge/net/origin.py
@@ -119,10 +119,11 @@
 
 
 class OriginExchange(_OverHttp):
-    """A read or a write at the origin."""
+    """A read or a write at the origin, which is told that `wait_ms` are left for it."""
 
-    def __init__(self, envelope: Envelope, host: str) -> None:
-        headers = [(b"Host", host.encode()), (b"Req-Id", envelope.id), (b"Req-Extra", envelope.extras)]
+    def __init__(self, envelope: Envelope, host: str, wait_ms: float) -> None:
+        extras = b"".join(envelope.extras_told(wait_ms))
+        headers = [(b"Host", host.encode()), (b"Req-Id", envelope.id), (b"Req-Extra", extras)]
         if envelope.value is not None:
             headers.append((b"Content-Length", b"%d" % len(envelope.value)))
         target = b"/" + quote(envelope.key, safe="!$&'()*+,;=:@/-._~").encode()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import weakref
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -70,11 +71,10 @@
 class Alone:
     """A whole node, its clock set by hand, towards a scripted discovery."""
 
-    def __init__(self, discovery: Peer, known: dict, settings: api.Settings) -> None:
+    def __init__(self, discovery: Peer, known: dict, settings: api.Settings, kinds=()) -> None:
         self.clock = HandClock()
-        config = NodeConfig(
-            "n1", Address("127.0.0.1", 0), Address("127.0.0.1", discovery.port), 1, settings, known=known
-        )
+        listen, asked = Address("127.0.0.1", 0), Address("127.0.0.1", discovery.port)
+        config = NodeConfig("n1", listen, asked, 1, settings, kinds=kinds, known=known)
         self.node = Node(config, self.clock, *quiet())
 
     def state(self, server: str) -> MemberState | None:
@@ -854,6 +854,34 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("further", ["origin", "m2"])
+def test_a_further_attempt_tells_only_what_is_left(play, further):
+    """Found by the brink days: the origin was told the client's whole time, however much of it was over."""
+
+    async def test():
+        settings = replace(SETTINGS, discovery=api.Discovery.ON_REQUEST)
+        async with Peer(lambda _: b"") as discovery, Peer(lambda _: b"") as one, Peer(lambda _: b"") as two:
+            known = whole(1, s1="in_service", s2="in_service")
+            for entry, peer, flavor in zip(known["members"], (one, two), ("m2", further), strict=True):
+                entry |= {"host_port": f"127.0.0.1:{peer.port}", "flavor": flavor}
+            alone = Alone(discovery, known, settings, kinds=("m2", "origin"))
+            port = await alone.node.start()
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(READ % b"a1")
+            await until(lambda: one.got or two.got)
+            first, second = (one, two) if one.got else (two, one)
+            assert b"d=470\r\n" in first.got[0]  # 10 ms are kept for the way back
+            alone.clock.go(300)
+            first.writers[0].write(b"EN Oa1\r\n" if further == "origin" else BUSY)
+            await until(lambda: second.got)
+            assert second.got[0].startswith(b"GET /key7 " if further == "origin" else b"mg key7 ")
+            assert b"c=read,t=acme,d=170\r\n" in second.got[0]
+            writer.close()
+            await alone.node.close()
+
+    play(test)
+
+
 # The module's part
 
 
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -176,7 +176,8 @@
         ([asked(idem="i"), *sent(5, made=50), answered(60)], {"altered"}),
         ([asked(), *sent(400, made=450, wait_ms=600), answered(460)], set()),
         ([asked(), *sent(400, made=450, wait_ms=650), answered(460)], {"altered"}),
-        ([asked(), *sent(400, made=450, wait_ms=1000, origin=True), answered(460)], set()),
+        ([asked(), *sent(400, made=450, wait_ms=600, origin=True), answered(460)], set()),
+        ([asked(), *sent(400, made=450, wait_ms=650, origin=True), answered(460)], {"altered"}),
         ([r.Malformed(t=1, node="n0", server="s1", text="mx")], {"malformed"}),
         # held back
         ([asked(), answered(480, "refused")], set()),
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -51,7 +51,7 @@
 @given(CUTS)
 def test_a_long_value_comes_out_as_it_went_in_and_at_once(kind, cuts):
     cache = kind == "cache"
-    exchange = CacheExchange(envelope(), 100.0) if cache else OriginExchange(envelope(), "o:1")
+    exchange = CacheExchange(envelope(), 100.0) if cache else OriginExchange(envelope(), "o:1", 100.0)
     exchange.question()
     data = ANSWER if cache else HTTP
     head = data.index(VALUE[:100])
@@ -99,7 +99,7 @@
     ],
 )
 def test_what_is_no_good_long_value_does_not_go_through(head):
-    exchange = OriginExchange(envelope(), "o:1")
+    exchange = OriginExchange(envelope(), "o:1", 100.0)
     answer = exchange.feed(head + b"x" * 70000)
     assert exchange.long is None and answer is not None and answer.outcome is Outcome.ERROR
 
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -51,7 +51,7 @@
     for make, text in (
         (lambda: CacheExchange(envelope(), 100.0), VALUE),
         (CacheProbe, STATS),
-        (lambda: OriginExchange(envelope(), "o:1"), HTTP),
+        (lambda: OriginExchange(envelope(), "o:1", 100.0), HTTP),
     ):
         whole, parted = make(), make()
         assert whole.question() == parted.question()
@@ -77,7 +77,7 @@
     exchanges = [
         CacheExchange(envelope(), 1.0),
         CacheProbe(),
-        OriginExchange(envelope(), "o:1"),
+        OriginExchange(envelope(), "o:1", 100.0),
         OriginProbe("o"),
     ]
     for exchange in exchanges:
@@ -176,7 +176,7 @@
         (HTTP.replace(b"Srv-Load", b"Req-Id"), True),
         (b"?\r\n", True),
     ):
-        exchange = OriginExchange(envelope(), "o:1")
+        exchange = OriginExchange(envelope(), "o:1", 100.0)
         exchange.question()
         assert exchange.feed(text).spoilt is spoilt
 
@@ -194,9 +194,9 @@
     ],
 )
 def test_what_the_origin_answers(head, outcome):
-    exchange = OriginExchange(envelope(value=b"v"), "o:1")
+    exchange = OriginExchange(envelope(value=b"v"), "o:1", 123.9)
     assert b"".join(exchange.question()) == (
-        b"PUT /key7 HTTP/1.1\r\nHost: o:1\r\nReq-Id: a1\r\nReq-Extra: c=read,t=acme,d=480,k=5c0f\r\n"
+        b"PUT /key7 HTTP/1.1\r\nHost: o:1\r\nReq-Id: a1\r\nReq-Extra: c=read,t=acme,d=123,k=5c0f\r\n"
         b"Content-Length: 1\r\n\r\nv"
     )
     answer = exchange.feed(b"HTTP/1.1 " + head + b"\r\n\r\nok")
