Begin the late grants of a test at a node's first ask of all, not at its first ask of one

The test makes grants late from the first ask of n0 to n1; where n0 asked n2 before that, n2's grant came in time. Ruled out: a loan that is counted though it was over as it came (`Grant` is counted only where the holding took it). Change: the fault begins at n0's first ask, to whomever. The assertions are as they were.

--- a/tests/test_budgets_processes.py
+++ b/tests/test_budgets_processes.py
@@ -100,15 +100,16 @@
     return one["usable"] == 1.0 and not one["lent"] and not one["borrowed"]
 
 
-def at_word(word: str, source: str, target: str, deed, nth: int = 1):
-    """An aim: `deed(rig)` the moment the n-th such word from one node to another passes the relay."""
+def at_word(word: str, source: str, target: str | None, deed, nth: int = 1):
+    """An aim: `deed(rig)` the moment the n-th such word from one node to another (None: to any) passes the
+    relay."""
 
     def aim(rig):
         left = [nth]
 
         def look(record):
-            same = isinstance(record, Datagram) and (record.source, record.target) == (source, target)
-            if same and word in record.words and left[0]:
+            same = isinstance(record, Datagram) and record.source == source
+            if same and target in (None, record.target) and word in record.words and left[0]:
                 left[0] -= 1
                 if not left[0]:
                     deed(rig)
@@ -211,7 +212,8 @@
     def late(rig):
         rig.ways([1, 2], [0], both=False, **wrong)
 
-    run(3, work, rate=100.0, aim=at_word("ask", "n0", "n1", late))
+    # At its first ask of all: whom it asks first depends on which process has its load first.
+    run(3, work, rate=100.0, aim=at_word("ask", "n0", None, late))
 
 
 @pytest.mark.parametrize("both", [True, False])
