Exit with 0 when told to end before serving, and when signalled again behind the end

And a loop that closes gives each of its signals back to the default: a second SIGTERM, a SIGHUP or SIGUSR1 behind `left`, while the log is written out, killed the process and lost the log's last lines. "SIGTERM twice" was tested only before. Ruled out: signal.signal in place of the loop's handlers, which would lean on a wait that a signal interrupts. Change: SIGTERM exits with 0 until the loop minds it, beside the SIGHUP that is remembered; after `leave` the program blocks and passes over what it minded.

--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -1,17 +1,20 @@
 """The daemon: reads its configuration, starts one node, and minds the signals."""
 
 import signal
+import sys
 
 early: list[int] = []  # signals to read the configuration again that came before a node could
 if __name__ == "__main__":
     # Guards the start: a SIGHUP that comes while modules are imported and the configuration is read would end
     # the program, and one that comes after it was read must not be lost.
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    # One that is told to end before it serves has taken nothing: that is an end as good as any. It must not
+    # wait for the configuration either.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
 import asyncio
 import contextlib
 import os
-import sys
 
 from flintridge.net.clock import SystemClock
 from flintridge.net.listen import NotListening
@@ -24,6 +27,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, said: _unhandled(log, said))
     ending = asyncio.Event()
+    # From here on the loop minds what comes: the node starts, serves as it must, and leaves.
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
     # What is signalled until the loop goes on is carried out by the handler that stands then.
@@ -37,6 +41,17 @@
         _reload(node)
     await ending.wait()
     await node.leave()
+    _mind_no_more(loop)
+
+
+def _mind_no_more(loop: asyncio.AbstractEventLoop) -> None:
+    """Guards a good end, and the last lines of the log, against a signal that comes behind it: a loop that
+    closes leaves each of its signals to the system's default, which ends the process as one that was killed."""
+    minded = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+    signal.pthread_sigmask(signal.SIG_BLOCK, minded)
+    for number in minded:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _reload(node: Node) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import gc
+import json
 import math
 import os
 import signal
@@ -1034,6 +1035,50 @@
     asyncio.run(test())
 
 
+def test_sigterm_before_a_process_serves_is_an_end_as_good_as_any(tmp_path):
+    """The configuration is a pipe to which nobody writes: it must not wait for that either."""
+
+    async def test():
+        async with Peer(cache) as box, Peer(lambda _: b"") as discovery:
+            program = Program(tmp_path, {"box": box}, discovery)
+            program.config.unlink()
+            os.mkfifo(program.config)
+            starting = asyncio.ensure_future(program.start())
+            loop = asyncio.get_running_loop()
+            pipe = await loop.run_in_executor(None, os.open, program.config, os.O_WRONLY)  # it has opened it
+            program.process.send_signal(signal.SIGTERM)
+            assert await program.process.wait() == 0
+            os.close(pipe)
+            starting.cancel()
+            await asyncio.gather(starting, return_exceptions=True)
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("late", [signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT])
+def test_a_signal_behind_the_end_changes_nothing(tmp_path, late):
+    """It comes as the loop has closed and the log is written out: the last thing that the program does."""
+
+    async def test():
+        async with Peer(cache) as box, Peer(lambda _: b"") as discovery:
+            program = Program(tmp_path, {"box": box}, discovery)
+            text = (
+                "import os, runpy, signal\n"
+                "from flintridge.net.log import Log\n"
+                "close = Log.close\n"
+                f"Log.close = lambda log: (os.kill(os.getpid(), {int(late)}), close(log))\n"
+                "runpy.run_module('flintridge', run_name='__main__')\n"
+            )
+            await program.start(text=text)
+            program.process.send_signal(signal.SIGTERM)
+            events = [
+                json.loads(line)["event"] for line in (await program.process.stdout.read()).splitlines()
+            ]
+            assert events[-1] == "left" and await program.process.wait() == 0
+
+    asyncio.run(test())
+
+
 def test_a_request_and_sigterm_that_reach_a_process_together(tmp_path):
     """Both wait while it is stopped, on a resting connection and in the listener's queue."""
 
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -59,11 +59,12 @@
         }
         self.config.write_text(json.dumps(config))
 
-    async def start(self, files: int | None = None) -> int:
-        """`files`: the descriptors that it may hold."""
+    async def start(self, files: int | None = None, text: str | None = None) -> int:
+        """`files`: the descriptors that it may hold. `text`: a program that runs it, in place of itself."""
+        program = ("-m", "flintridge") if text is None else ("-c", text)
         limit = files and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)))
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flintridge", cwd=ROOT, stdout=subprocess.PIPE, preexec_fn=limit,
+            sys.executable, *program, cwd=ROOT, stdout=subprocess.PIPE, preexec_fn=limit,
             env={**os.environ, "PROXY_CONFIG": str(self.config)},
         )  # fmt: skip
         return (await self.event("serving"))["port"]
