--- a/flintridge/__main__.py
+++ b/flintridge/__main__.py
@@ -46,7 +46,7 @@
 
 def _mind_no_more(loop: asyncio.AbstractEventLoop) -> None:
     """Guards a good end, and the last lines of the log, against a signal that comes behind it: a loop that
-    closes leaves each of its signals to the system's default, which ends the process as one that was killed."""
+    closes leaves each of its signals to the system's default, which ends the process like one killed."""
     minded = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
     signal.pthread_sigmask(signal.SIG_BLOCK, minded)
     for number in minded:
