Take a request for one that may have run if its last byte went out as its time ended

Cause: found in review. `Link.asked` is set a step of the loop after the transport has written the last byte (the waiter of `drain` is done, its task not yet resumed). A time-out of the attempt or of its window in that step ended it as CONNECT_FAILED, which proves that it never ran: an unsafe request was then sent once more, and rule 2 broken. Ruled out: small requests, which the transport writes at once without a step between; resets in that step, which end as RESET already, as the waiter's result comes first. Change: a write that is given up looks whether the transport still holds anything of it.

--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -115,7 +115,14 @@
                 self.writer.write(memoryview(part)[at : at + PIECE])
                 await self.writer.drain()
         self.writer.writelines(short)
-        await self.writer.drain()  # with no high-water mark: returns when all is written
+        try:
+            await self.writer.drain()  # with no high-water mark: returns when all is written
+        except asyncio.CancelledError:
+            # Guards rule 2 against a time-out in the very step in which the last byte went out, of which this
+            # task was to hear next: it may have run.
+            transport = self.writer.transport
+            self.asked = not transport.is_closing() and not transport.get_write_buffer_size()
+            raise
 
     async def more(self, exchange: Exchange) -> Answer | None:
         """Read on. Raises OSError where the connection ends too early."""
