Let the lab's judge of a used id know an id that is free again

Ruled out: a node that serves a second use while the first is open: it answers `id in use` (test_long_values). Change: served after a refusal is told as `anew`; served after anything else is `served` and a breach, as before.

--- a/flintridge/lab/load/bad.py
+++ b/flintridge/lab/load/bad.py
@@ -87,6 +87,7 @@
         self._log = log
         self._reader = AnswerReader()
         self._good = script.good  # until its answer came
+        self._refused = False  # that was its answer
         self._sent = 0
         self._free = True  # to write on
         self._began = 0.0
@@ -117,8 +118,11 @@
             if self._good is not None:
                 self._log.add(answer_record(self._clock.now(), self._node, self._good.uid, answer))
                 self._good = None
+                self._refused = answer.kind == "refused"
             else:
-                self._end(_got(answer))
+                got = _got(answer)
+                # What was refused never ran, and its id is free: the second use is a request like any other.
+                self._end("anew" if got == "served" and self._refused else got)
                 return
 
     def eof_received(self) -> None:
--- a/flintridge/lab/records.py
+++ b/flintridge/lab/records.py
@@ -86,7 +86,7 @@
 
     node: str
     kind: str
-    got: str  # error, closed, nothing, served
+    got: str  # error, closed, nothing, served; anew: served, as its id was free again
     took_ms: float
     owed_ms: float  # within which an error or a close was due
 
--- a/tests/test_generated_days.py
+++ b/tests/test_generated_days.py
@@ -9,7 +9,8 @@
 from flintridge.lab.run import play
 from flintridge.lab.scenario.model import Scenario
 
-FOUND = (76, 100, 175, 230)  # SIGHUP as a process starts; a new server at the address of one that is listed
+# SIGHUP as a process starts; a new server at the address of one that is listed; an id that was free again
+FOUND = (76, 100, 175, 230, 334)
 
 
 @pytest.mark.parametrize("seed", [*range(1, 13), *FOUND])
--- a/tests/test_lab_load.py
+++ b/tests/test_lab_load.py
@@ -617,10 +617,10 @@
 def test_bad_clients_get_what_nodes_say():
     day = Scenario(length_s=9, warmup_s=0, load=model.Load(rate_per_s=1), clients=Clients(retries=0))
 
-    async def bad(trial):
-        trial.load.bad_clients(20.0, (), True)
+    async def bad(trial, kinds=()):
+        trial.load.bad_clients(20.0, kinds, True)
         await trial.fabric.clock.sleep_until(6000.0)
-        trial.load.bad_clients(20.0, (), False)
+        trial.load.bad_clients(20.0, kinds, False)
 
     deaf = Trial(lambda c: None, day, during=bad).of(BadClient)
     assert {b.kind for b in deaf} == set(KINDS)
@@ -634,6 +634,17 @@
     served = Trial(lambda c: b"MN\r\n", day, during=bad).of(BadClient)
     assert {b.got for b in served if b.kind == "flood"} == {"served"}
     used = {a.uid for a in rude.of(Asked) if not a.counted}
+    # An id whose first use was refused at once is free again; one whose first use was served is not.
+    for first, got in ((lambda c: b"SERVER_ERROR busy\r\n", "anew"), (lambda c: c.served, "served")):
+        seen = set()
+
+        def answer(c, first=first, seen=seen):
+            again = c.uid in seen
+            seen.add(c.uid)
+            return c.served if again else first(c)
+
+        both = Trial(answer, day, during=lambda trial: bad(trial, ("used_id",))).of(BadClient)
+        assert {b.got for b in both} == {got}
     assert used and all(a.kind == "error" for a in rude.of(Answered) if a.uid in used)
     assert max(b.t for b in deaf) < 12_100
 
