Look at the client before each attempt is written, as its end may lie unseen

A burst of new connections holds the event loop up for some tenths of a second; request and end then lie in the kernel together, the loop reads the request in one turn and sees the end in the next, and the attempt is written between the two. Ruled out: waiting in line (an attempt began 3 to 6 ms after its request was taken), late connections (withheld already). Change: `Reply.look` asks the system (POLLRDHUP) whether the client has ended, before an attempt's first byte; who has left is told as gone by the same path as ever, and the attempt is withheld.

--- a/flintridge/lab/defects/wrapping.py
+++ b/flintridge/lab/defects/wrapping.py
@@ -33,6 +33,9 @@
     def __init__(self, reply: Reply) -> None:
         self.reply = reply
 
+    def look(self) -> None:
+        self.reply.look()
+
     def begin(self, length: int) -> Passage:
         return self.reply.begin(length)
 
--- a/flintridge/net/core.py
+++ b/flintridge/net/core.py
@@ -291,6 +291,7 @@
         until = request.deadline if timeout_ns == 0 else min(request.deadline, now + to_ms(timeout_ns))
         attempt = DeliveryAttempt(uid, len(request.attempts), server, request.envelope, now, until)
         attempt.begin_by, attempt.written_by = send.begin_by / NS, send.written_by / NS
+        attempt.look = request.reply.look
         request.attempts.append(attempt)
         request.out += 1
         if self.moved is not None:
--- a/flintridge/net/delivery.py
+++ b/flintridge/net/delivery.py
@@ -205,8 +205,10 @@
             if link is None:
                 limit = min(self._connect_time, attempt.until - self._clock.now())
                 link = await self._connect(transport.address, limit)
-            # The connection may have been long in coming up: what the send rested on has to hold still.
+            # The connection may have been long in coming up: what the send rested on has to hold still. And
+            # the client may have left while the loop was held up, by a crowd of others: it has yet to see it.
             now = self._clock.now()
+            attempt.look()
             if attempt.over or now > min(attempt.begin_by, attempt.written_by):
                 raise Withheld
             exchange = self._exchange(attempt, transport)
--- a/flintridge/net/envelope.py
+++ b/flintridge/net/envelope.py
@@ -79,7 +79,11 @@
 
 
 class Reply(Protocol):
-    """The sender side's end of a request: exactly one of these is called, once."""
+    """The sender side's end of a request: exactly one of the calls below `look` is made, once."""
+
+    def look(self) -> None:
+        """See whether its client has left by now, though nobody may have been told yet; it is told then
+        (`Core.gone`)."""
 
     def begin(self, length: int) -> Passage:
         """Served with a long value, which is to go through in pieces."""
@@ -128,6 +132,10 @@
         """The server ended its sending: the answer, if this completes it."""
 
 
+def _at_nobody() -> None:
+    """There is no client to look at."""
+
+
 @dataclass(slots=True)
 class DeliveryAttempt:
     """One attempt to have a request served by a server."""
@@ -141,5 +149,6 @@
     begin_by: float = math.inf  # its first byte may go until then,
     written_by: float = math.inf  # and its last
     over: bool = False  # its request has ended: what is not begun is not to be written any more
+    look: Callable[[], None] = _at_nobody  # to be called before its first byte: it may be `over` upon that
     ended: bool = False
     give_up: Callable[[], object] | None = None  # set by the driver that carries it
--- a/flintridge/net/sender.py
+++ b/flintridge/net/sender.py
@@ -49,6 +49,9 @@
         self.parts: list[bytes] | None = None
         self.passage: ClientPassage | None = None  # while a long value goes through
 
+    def look(self) -> None:
+        self.connection.look()
+
     def begin(self, length: int) -> "ClientPassage":
         self.uid = None  # the core holds it no longer
         self.passage = ClientPassage(self, length)
@@ -157,13 +160,17 @@
             self._transport.resume_reading()
 
     def look(self) -> None:
-        """Guards what waits here against a client whose end lies behind bytes that nobody reads now."""
-        if not self.owed or self._gone or self._transport.is_reading():
-            return
-        if other_side_ended(self._transport):
+        """Guards what waits here, or is about to be sent on, against a client whose end the system holds:
+        behind bytes that nobody reads now, or in a turn of the event loop that is still to come."""
+        if not self._gone and other_side_ended(self._transport):
             self._side.counters.add("clients_left_unread")
             self._end()
 
+    @property
+    def held_up(self) -> bool:
+        """Whether something waits here while nothing is read."""
+        return self.owed and not self._transport.is_reading()
+
     def expire(self, now: float) -> None:
         """Close it if it has been of no use for too long: nothing asked, or half a command and no more.
 
@@ -529,7 +536,8 @@
         now = self.clock.now()
         self._sweep_timer = self.clock.call_at(now + SWEEP, self._sweep)
         for connection in list(self._connections):
-            connection.look()
+            if connection.held_up:
+                connection.look()
             connection.expire(now)
             self.between_requests(connection)
         self._emptied()
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -92,6 +92,9 @@
     def __init__(self) -> None:
         self.said: list = []
 
+    def look(self) -> None:
+        """Its client stays."""
+
     def served(self, served: Served) -> None:
         self.said.append(served.body)
 
