Say once what crosses a connection in two tests of the endings

Need: two tests made bytes, a reset or an end reach the node in the same six lines. Ruled out: a fixture, as the moment differs. Change: one function, `cross`; every assertion is as it was.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -164,12 +164,7 @@
         await loop.sock_recv(first, 4096)
         first.send(http(whole(2, s1="terminating")))
         await until(lambda: alone.state("s1") is MemberState.DRAINING)
-        if crossing == "rst":
-            gone_with_a_reset(first)
-        elif crossing:
-            first.send(crossing)
-        else:
-            first.shutdown(socket.SHUT_WR)
+        cross(first, crossing)
         alone.clock.go(150)  # the next call is due, with no turn of the loop since
         second, _ = await loop.sock_accept(listener)
         assert b"after=2&" in await loop.sock_recv(second, 4096)
@@ -324,6 +319,16 @@
     client.close()
 
 
+def cross(end: socket.socket, crossing: bytes | str) -> None:
+    """What reaches the node in this moment: bytes, a reset ("rst"), or an orderly end (b"")."""
+    if crossing == "rst":
+        gone_with_a_reset(end)
+    elif crossing:
+        end.send(crossing)
+    else:
+        end.shutdown(socket.SHUT_WR)
+
+
 async def rest(client: socket.socket) -> bytes:
     """All that comes until the end. Raises ConnectionResetError where that is a reset."""
     client.setblocking(False)
@@ -940,12 +945,7 @@
         first.send(VALUE)
         await until(lambda: bench.ended)
         assert bench.ended[0].outcome is Outcome.OK
-        if crossing == "rst":
-            gone_with_a_reset(first)
-        elif crossing:
-            first.send(crossing)
-        else:
-            first.shutdown(socket.SHUT_WR)
+        cross(first, crossing)
         bench.delivery.start(bench.attempt())  # its first step is the next of the loop
         second, _ = await loop.sock_accept(listener)
         assert (await loop.sock_recv(second, 4096)).startswith(b"mg key7 ")
