--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -73,6 +74,7 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that the node is ended too
     try:
         held = asyncio.run(asyncio.wait_for(_run(case, record, trouble), TIME_LIMIT_S))
     except (CouldNotRunError, TimeoutError, OSError) as error:
