--- a/flintridge/codec/http/origin.py
+++ b/flintridge/codec/http/origin.py
@@ -8,7 +8,7 @@
 from flintridge.codec.http.exchange import HttpExchange, HttpResponse, header_value
 from flintridge.codec.load_report import parse_load_report
 from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES, LongValueReader
-from flintridge.codec.memcache.syntax import is_token
+from flintridge.codec.memcache.syntax import is_receipt
 from flintridge.core.request import Request
 from flintridge.core.response import AttemptResult, Response
 
@@ -101,8 +101,7 @@
         if response_id not in (None, self._id):
             return AttemptResult(Outcome.ERROR, malformed=True)
         if head.status_code == STATUS_OK:
-            if self._write and not (response.body and is_token(response.body)):
-                # The body is not a receipt that could be forwarded in a response line.
+            if self._write and not is_receipt(response.body):
                 return AttemptResult(Outcome.ERROR, malformed=True)
             return AttemptResult(Outcome.OK, Response(response.body, receipt=self._write), load=load)
         # Only the origin's own header proves that the request was never executed: a bare 503 may come from
--- a/flintridge/codec/memcache/exchange.py
+++ b/flintridge/codec/memcache/exchange.py
@@ -5,7 +5,7 @@
 from flintridge.codec.load_report import parse_load_report
 from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES, LongValueReader
 from flintridge.codec.memcache.response_parser import ResponseParser
-from flintridge.codec.memcache.syntax import CRLF
+from flintridge.codec.memcache.syntax import CRLF, is_receipt
 from flintridge.core.request import Request
 from flintridge.core.response import AttemptResult, Response
 
@@ -136,8 +136,8 @@
             self._value_head = AttemptResult(Outcome.OK, None, cache_status, load)
             return None
         receipt = next((flag[1:] for flag in flags if flag[:1] == b"c"), None)
-        if receipt is None:
-            raise MalformedError("response has no receipt")
+        if receipt is None or not is_receipt(receipt):
+            raise MalformedError("response has no valid receipt")
         return AttemptResult(Outcome.OK, Response(receipt, receipt=True), cache_status, load)
 
     @staticmethod
--- a/tests/codec/test_cache_exchange.py
+++ b/tests/codec/test_cache_exchange.py
@@ -3,9 +3,12 @@
 import pytest
 from support.codec import READ, WRITE, parse_commands
 from support.network import make_request
+from support.upstream import http_response
 
 from flintridge.api import Outcome
+from flintridge.codec.http.origin import OriginExchange
 from flintridge.codec.memcache.exchange import CacheExchange
+from flintridge.codec.memcache.syntax import MAX_RECEIPT_BYTES
 
 
 def test_command_when_forwarded_differs_only_in_the_remaining_time():
@@ -38,6 +41,27 @@
     assert (result.outcome, result.cache_status) == (outcome, cache_status)
 
 
+@pytest.mark.parametrize(
+    ("receipt", "outcome"),
+    [
+        (b"r7", Outcome.OK),
+        (b"x" * MAX_RECEIPT_BYTES, Outcome.OK),
+        (b"x" * (MAX_RECEIPT_BYTES + 1), Outcome.ERROR),
+        (b"", Outcome.ERROR),
+        (b"r\x00", Outcome.ERROR),
+        (b"r\n7", Outcome.ERROR),
+        (b"r\xff", Outcome.ERROR),
+    ],
+)
+def test_receipt_when_it_cannot_be_forwarded_is_malformed_from_cache_servers_and_the_origin(receipt, outcome):
+    # Guards against forwarding a receipt that one codec checks and the other does not.
+    cache = CacheExchange(make_request(value=b"v"), 1.0)
+    assert cache.feed(b"HD Oa1 c%b\r\n" % receipt).outcome is outcome
+    origin = OriginExchange(make_request(value=b"v"), "o:1", 1.0)
+    origin.encode_request()
+    assert origin.feed(http_response(receipt)).outcome is outcome
+
+
 def test_cache_response_when_more_bytes_follow_makes_the_connection_not_reusable():
     exchange = CacheExchange(make_request(), 1.0)
     assert exchange.feed(b"EN Oa1\r\nEN").outcome is Outcome.MISS
