Check the end of a long value that is skipped for lack of memory

Seen: an order whose value is longer than announced was rejected as busy if no memory was free, and the rest of its value was then parsed as commands. Cause: CommandParser checked the CRLF after a value that it read, not after one that it skipped. Change: both end with `bad data chunk`, and the connection closes. Result: the test's case for a skipped value fails without the change.

--- a/flintridge/codec/memcache/command_parser.py
+++ b/flintridge/codec/memcache/command_parser.py
@@ -26,7 +26,7 @@
     SHORT_VALUE -> COMMAND_LINE or FAILED
     AWAITING_ADMISSION -> LONG_VALUE or SKIPPING_VALUE, by `admit_long_value`
     LONG_VALUE -> COMMAND_LINE or FAILED
-    SKIPPING_VALUE -> COMMAND_LINE
+    SKIPPING_VALUE -> COMMAND_LINE or FAILED
     """
 
     COMMAND_LINE = enum.auto()
@@ -87,7 +87,7 @@
             self._long_value = bytearray()
         else:
             self._state = _State.SKIPPING_VALUE
-            self._bytes_to_skip = self._value_length + len(CRLF)
+            self._bytes_to_skip = self._value_length
         return self._parse_buffer()
 
     def _parse_buffer(self) -> list[Command]:
@@ -195,12 +195,17 @@
         self._long_value = bytearray()
         return self._parse_request(self._tokens, value)
 
-    def _skip_value(self) -> LongValueSkipped | None:
+    def _skip_value(self) -> LongValueSkipped | InvalidCommand | None:
         available = min(self._bytes_to_skip, len(self._buffer) - self._position)
         self._bytes_to_skip -= available
         self._position += available
-        if self._bytes_to_skip:
+        end = self._position + len(CRLF)
+        if self._bytes_to_skip or len(self._buffer) < end:
             return None
+        # Guards against executing the bytes of a wrongly measured value as commands.
+        if self._buffer[self._position : end] != CRLF:
+            return self._fail("bad data chunk")
+        self._position = end
         self._state = _State.COMMAND_LINE
         return LongValueSkipped()
 
--- a/tests/codec/test_long_values.py
+++ b/tests/codec/test_long_values.py
@@ -112,8 +112,10 @@
     assert parser.idle
 
 
-def test_long_write_when_its_terminator_is_malformed_is_fatal():
+@pytest.mark.parametrize("admitted", [True, False])
+def test_long_write_when_its_terminator_is_malformed_is_fatal(admitted):
+    # Guards against parsing the rest of a wrongly measured value as commands, even if the value is skipped.
     parser = CommandParser(SETTINGS)
     parser.feed(LONG_WRITE[:-2] + b"XY")
-    (bad,) = parser.admit_long_value(True)
+    (bad,) = parser.admit_long_value(admitted)
     assert bad == InvalidCommand("bad data chunk", fatal=True)
