Reject an HTTP response whose body is longer than its Content-Length

Seen: a response of 99,995 bytes with a Content-Length of 99,495 was served as 99,495 bytes, while memcache values with a wrong length fail at the CRLF after them. Cause: HttpExchange ignored the bytes after a response. Change: bytes in the same read that begin no second response make it malformed. Bytes that arrive later cannot be told from noise.

--- a/flintridge/codec/http/exchange.py
+++ b/flintridge/codec/http/exchange.py
@@ -140,6 +140,9 @@
     def _complete(self) -> HttpResponse:
         both_done = set(self._connection.states.values()) == {h11.DONE}
         trailing_bytes, closed = self._connection.trailing_data
+        # Nothing was requested that these bytes could answer. A duplicate of the response does no harm.
+        if not RESPONSE_START.startswith(trailing_bytes[: len(RESPONSE_START)]):
+            raise HttpResponseError("response body is longer than its length")
         self.reusable = both_done and not trailing_bytes and not closed
         assert self._head is not None
         return HttpResponse(self._head, b"".join(self._body_chunks))
--- a/tests/codec/test_http_exchange.py
+++ b/tests/codec/test_http_exchange.py
@@ -3,6 +3,7 @@
 import h11
 import pytest
 from support.network import make_request
+from support.upstream import http_response
 
 from flintridge.api import Outcome
 from flintridge.codec.http.exchange import HttpExchange
@@ -40,3 +41,18 @@
     exchange.encode_request()
     with pytest.raises(h11.RemoteProtocolError):
         exchange.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd")
+
+
+@pytest.mark.parametrize("length", [2, 70_000])
+@pytest.mark.parametrize(
+    ("trailing", "malformed"), [(b"", False), (b"HTTP/1.1 200 OK\r\n", False), (b"HT", False), (b"x", True)]
+)
+def test_origin_response_when_its_body_exceeds_its_length_is_malformed(length, trailing, malformed):
+    # Guards against serving a truncated value or receipt. A duplicate of the response does no harm.
+    exchange = OriginExchange(make_request(), "o:1", 100.0)
+    exchange.encode_request()
+    result = exchange.feed(http_response(b"v" * length) + trailing)
+    assert result is not None
+    assert result.malformed is malformed
+    assert result.outcome is (Outcome.ERROR if malformed else Outcome.OK)
+    assert exchange.reusable is (not trailing)
