Reject HTTP messages with both Content-Length and Transfer-Encoding

Cause: h11 ends the body with the last chunk, but OriginExchange._long_value announced the length of Content-Length. Change: such messages are malformed (RFC 9112, 6.3), also load reports, discovery's answers and calls of the admin API.

--- a/flintridge/codec/http/exchange.py
+++ b/flintridge/codec/http/exchange.py
@@ -11,12 +11,17 @@
 
 RESPONSE_START = b"HTTP/1."
 MAX_HEAD_BYTES = 16 * 1024
+BODY_LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class HttpResponseError(FlintridgeError, h11.RemoteProtocolError):
     """The response is not HTTP/1, or exceeds a limit of this implementation."""
 
 
+class HttpFramingError(FlintridgeError, h11.RemoteProtocolError):
+    """The end of a message's body is ambiguous."""
+
+
 @dataclass(slots=True, frozen=True)
 class HttpResponse:
     """A complete response.
@@ -40,6 +45,20 @@
     return next((value for key, value in head.headers if key == name), None)
 
 
+def check_body_framing(head: h11.Request | h11.Response) -> None:
+    """Check that a message states the length of its body in only one way (RFC 9112, section 6.3).
+
+    If a message has both, h11 delimits the body by the chunks, whatever Content-Length states. A reader that
+    relies on Content-Length would then expect another number of bytes.
+
+    Raises:
+        HttpFramingError: The message has both Content-Length and Transfer-Encoding.
+    """
+    names = {name for name, _ in head.headers}
+    if names >= BODY_LENGTH_HEADERS:
+        raise HttpFramingError("message has both Content-Length and Transfer-Encoding")
+
+
 class HttpExchange:
     """One request and its response.
 
@@ -109,6 +128,7 @@
             if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
                 return None
             if isinstance(event, h11.Response):
+                check_body_framing(event)
                 self._head = event
                 if self._stream_body is not None:
                     self.streamed_value = self._stream_body(event)
--- a/flintridge/downstream/admin_exchange.py
+++ b/flintridge/downstream/admin_exchange.py
@@ -11,6 +11,7 @@
 import h11
 import orjson
 
+from flintridge.codec.http.exchange import check_body_framing
 from flintridge.core.admin_routes import AdminResponse, Routes, RouteWithInput
 
 MAX_HEAD_BYTES = 8 * 1024
@@ -72,6 +73,7 @@
                 return None
             if isinstance(event, h11.Request):
                 self._request = event
+                check_body_framing(event)
                 path = event.target.partition(b"?")[0]
                 self._takes_body = isinstance(self._routes.get(path, {}).get(event.method), RouteWithInput)
             elif isinstance(event, h11.Data):
--- a/tests/codec/test_long_values.py
+++ b/tests/codec/test_long_values.py
@@ -59,6 +59,22 @@
     assert b"".join(out) == VALUE[:-1]
 
 
+@pytest.mark.parametrize("value", [b"ok", VALUE], ids=["short", "long"])
+@pytest.mark.parametrize("missing", [-500, 0, 500])
+@pytest.mark.parametrize("coding_first", [False, True])
+def test_origin_response_when_it_has_two_lengths_is_malformed(value, missing, coding_first):
+    # Guards against serving a truncated value: the chunks delimit the body, but Content-Length was announced.
+    lengths = [b"Content-Length: %d\r\n" % max(0, len(value) - missing), b"Transfer-Encoding: chunked\r\n"]
+    head = b"HTTP/1.1 200 OK\r\nReq-Id: a1\r\n" + b"".join(reversed(lengths) if coding_first else lengths)
+    exchange = OriginExchange(make_request(), "o:1", 100.0)
+    exchange.encode_request()
+    result = exchange.feed(head + b"\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(value), value))
+    assert result is not None
+    assert (result.outcome, result.malformed) == (Outcome.ERROR, True)
+    assert exchange.streamed_value is None
+    assert not exchange.reusable
+
+
 def test_long_value_when_more_bytes_follow_is_served_on_a_connection_that_is_not_reusable():
     exchange = CacheExchange(make_request(), 100.0)
     assert exchange.feed(ANSWER + b"VA 2").outcome is Outcome.OK
--- a/tests/downstream/test_admin_api.py
+++ b/tests/downstream/test_admin_api.py
@@ -70,6 +70,11 @@
             413,
         ),
         (b"POST /admin/quiesce HTTP/1.1\r\nHost: n1\r\nContent-Length: -4\r\n\r\n", 400),
+        (
+            b"POST /admin/quiesce HTTP/1.1\r\nHost: n1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n2\r\n{}\r\n0\r\n\r\n",
+            400,
+        ),
     ],
 )
 def test_exchange_when_given_a_call_then_responds_with_its_status(call, status):
