Answer every request behind a long value that breaks

Cause: a value was forwarded from its first chunk on, and a value that has begun can be ended only by closing the connection, with all that was read behind it. Change: a value with commands behind it is collected whole in reserved memory before it begins; otherwise nothing more is read until it is complete. A value that breaks before it begins may be retried.

--- a/flintridge/config/node_config.py
+++ b/flintridge/config/node_config.py
@@ -159,8 +159,19 @@
 
         Another third is for data that is being sent to clients: short responses and chunks of long ones.
         """
-        budget_mb = max(MAX_VALUE_MB, (self.memory_mb - BASE_MEMORY_MB) / 3)
-        return int(budget_mb * BYTES_PER_MB)
+        return self._memory_share_bytes(1 / 3)
+
+    @property
+    def response_budget_bytes(self) -> int:
+        """Memory for long values that are collected before they are sent to clients.
+
+        It is a sixth of what exceeds BASE_MEMORY_MB, and at least MAX_VALUE_MB.
+        """
+        return self._memory_share_bytes(1 / 6)
+
+    def _memory_share_bytes(self, share: float) -> int:
+        share_mb = share * (self.memory_mb - BASE_MEMORY_MB)
+        return int(max(MAX_VALUE_MB, share_mb) * BYTES_PER_MB)
 
     @property
     def _reserved_sockets(self) -> int:
--- a/flintridge/core/attempts.py
+++ b/flintridge/core/attempts.py
@@ -28,6 +28,8 @@
         begin_by=send.begin_by / NS_PER_MS,
         written_by=send.written_by / NS_PER_MS,
         check_client=request.responder.check_client,
+        response_due=request.deadline,
+        hold_later_commands=request.responder.hold_later_commands,
     )
 
 
--- a/flintridge/core/memory_budget.py
+++ b/flintridge/core/memory_budget.py
@@ -25,9 +25,14 @@
         self._clock = clock
         self._waiting: deque[_Reservation] = deque()
 
-    def try_reserve(self, count: int) -> bool:
-        """Reserve `count` bytes immediately; False if too few are free or other reservations are waiting."""
-        if count and (self._waiting or self.reserved + count > self.total):
+    def try_reserve(self, count: int, keep_free: int = 0) -> bool:
+        """Reserve bytes immediately; False if too few are free or other reservations are waiting.
+
+        Args:
+            count: The number of bytes.
+            keep_free: The number of bytes that must remain free.
+        """
+        if count and (self._waiting or self.reserved + count + keep_free > self.total):
             return False
         self.reserved += count
         return True
--- a/flintridge/core/request.py
+++ b/flintridge/core/request.py
@@ -56,6 +56,11 @@
     """Default for attempts without a client to check."""
 
 
+def _no_later_commands() -> bool:
+    """Default for attempts without a client that could send commands."""
+    return True
+
+
 @dataclass(slots=True)
 class UpstreamAttempt:
     """One attempt to have a request served by a server. Times are float milliseconds of the node's clock.
@@ -71,6 +76,8 @@
         written_by: Latest instant for writing the last byte.
         request_ended: Whether the request has its final response; an attempt not yet begun is not written.
         check_client: Must be called before the first byte is written; may set `request_ended`.
+        response_due: When the request's response is due, even if `deadline` is earlier.
+        hold_later_commands: See `Responder.hold_later_commands`.
         ended: Whether the attempt's end was reported.
         abort: Aborts the attempt; set by the driver.
     """
@@ -85,5 +92,7 @@
     written_by: float = math.inf
     request_ended: bool = False
     check_client: Callable[[], None] = _no_client
+    response_due: float = math.inf
+    hold_later_commands: Callable[[], bool] = _no_later_commands
     ended: bool = False
     abort: Callable[[], object] | None = None
--- a/flintridge/core/response.py
+++ b/flintridge/core/response.py
@@ -1,5 +1,6 @@
 """Responses: the results of attempts at servers, and the interface that delivers the final response."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -53,18 +54,24 @@
             DownstreamClosedError: The client has disconnected, or has read nothing for too long.
         """
 
-    def write(self, chunks: list[bytes]) -> None:
+    def write(self, chunks: Sequence[bytes | bytearray]) -> None:
         """Write the next chunks."""
 
     def end(self) -> None:
         """Finish the response; the value is complete."""
 
     def abort(self) -> None:
-        """Abort the response in a way that lets the client detect that the value is incomplete."""
+        """End the response with the value incomplete, in a way that lets the client detect it.
+
+        If nothing of the value was written, the request fails; otherwise the connection is closed.
+        """
 
 
 class Responder(Protocol):
-    """Delivers the response to the client. Exactly one method except `check_client` is called, once."""
+    """Delivers the response to the client.
+
+    Exactly one method except `check_client` and `hold_later_commands` is called, once.
+    """
 
     def check_client(self) -> None:
         """Check whether the client has disconnected.
@@ -72,6 +79,14 @@
         If so, `RequestLifecycle.client_disconnected` is called before this returns.
         """
 
+    def hold_later_commands(self) -> bool:
+        """Read no command behind this request until its response is complete.
+
+        Returns:
+            Whether no byte of a later command was read, so that the connection may be closed within the
+            response without losing another request. If some were, reading continues.
+        """
+
     def start_stream(self, length: int) -> StreamedResponse:
         """Respond with a long value of `length` bytes, in chunks."""
 
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Sequence
 
 from flintridge.codec.memcache.commands import Command, LongValueAnnounced
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
@@ -10,7 +11,7 @@
 from flintridge.downstream.connection_owner import ConnectionOwner
 from flintridge.downstream.lingering_close import wait_until_read
 from flintridge.downstream.orderly_close import OrderlyClose
-from flintridge.downstream.pipeline import ResponsePipeline
+from flintridge.downstream.pipeline import PendingResponse, ResponsePipeline
 from flintridge.runtime.clock import DeadlineExceededError
 from flintridge.runtime.streams import TrackingReader, limit_read_size, peer_has_closed
 
@@ -66,6 +67,7 @@
         self._close_when_responded = False  # reads no more commands, closes after the pending responses
         self._closed = False  # the client has disconnected, or the connection was closed
         self._processing = False  # commands are being processed, and more that were read may follow them
+        self._later_commands_held = False  # nothing is read until every pending response is complete
         self._transport.set_write_buffer_limits(high=WRITE_AHEAD_BYTES)
         limit_read_size(self._transport)
         reader.on_end = self._on_closed
@@ -108,7 +110,7 @@
 
     def resume_reading(self) -> None:
         """Read again: the drain that had stopped the reading was cancelled."""
-        if not self._orderly_close.started:
+        if not self._orderly_close.started and not self._later_commands_held:
             self._transport.resume_reading()
 
     def check_disconnected(self) -> None:
@@ -238,6 +240,27 @@
         self.last_used_at = self._owner.clock.now()
         self._owner.eviction_order.touch(self)
 
+    def hold_later_commands(self, pending: PendingResponse) -> bool:
+        """Read no command behind the one of `pending` until all responses are complete.
+
+        Returns:
+            Whether no byte of a later command was read. If some were, reading continues.
+        """
+        if self._closed or self.closing:
+            return True
+        if self._pipeline.last() is not pending or self._processing:
+            return False
+        if self._reader.has_unread or self._input.has_partial_command:
+            return False
+        self._later_commands_held = True
+        self._transport.pause_reading()
+        return True
+
+    def _release_later_commands(self) -> None:
+        self._later_commands_held = False
+        if not self.closing and not self._owner.reading_stopped:
+            self._transport.resume_reading()
+
     # Responses
 
     def flush(self) -> None:
@@ -246,9 +269,11 @@
         if buffers and not self.closing:
             self.write(buffers)
             self._owner.close_if_draining(self)
+        if self._later_commands_held and not self._pipeline:
+            self._release_later_commands()
         self._pipeline.start_next_stream()
 
-    def write(self, buffers: list[bytes]) -> None:
+    def write(self, buffers: Sequence[bytes | bytearray]) -> None:
         """Write to the client without waiting; does nothing if the connection is being closed."""
         if not self.closing:
             self._writer.writelines(buffers)
--- a/flintridge/downstream/pipeline.py
+++ b/flintridge/downstream/pipeline.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Sequence
 from typing import Protocol
 
 from flintridge.codec.memcache.encoder import (
@@ -28,7 +29,10 @@
     def flush(self) -> None:
         """Write the responses that are complete, up to the first that is not."""
 
-    def write(self, buffers: list[bytes]) -> None:
+    def hold_later_commands(self, pending: "PendingResponse") -> bool:
+        """Read no command behind the one of `pending`; False if some were read already."""
+
+    def write(self, buffers: Sequence[bytes | bytearray]) -> None:
         """Write to the client without waiting."""
 
     async def wait_until_read(self) -> None:
@@ -64,6 +68,10 @@
         """Check whether the client has disconnected."""
         self.connection.check_disconnected()
 
+    def hold_later_commands(self) -> bool:
+        """Read no command behind this one until its response is complete; False if some were read already."""
+        return self.connection.hold_later_commands(self)
+
     def start_stream(self, length: int) -> ClientStream:
         """Respond with a long value of `length` bytes, in chunks."""
         self.open_request_id = None
@@ -99,7 +107,7 @@
         """
         await self.connection.wait_until_read()
 
-    def write(self, buffers: list[bytes]) -> None:
+    def write(self, buffers: Sequence[bytes | bytearray]) -> None:
         """Write to the client without waiting."""
         self.connection.write(buffers)
 
@@ -113,6 +121,11 @@
         self.stream = None
         self.connection.abort_stream()
 
+    def fail_stream(self) -> None:
+        """Fail the request; nothing of the value was written."""
+        self.stream = None
+        self.fail()
+
 
 class ResponsePipeline:
     """The pending responses of one connection, in the order of their commands."""
--- a/flintridge/downstream/streaming.py
+++ b/flintridge/downstream/streaming.py
@@ -1,6 +1,7 @@
 """Long values streamed to a client in the order of its commands, no faster than the client reads."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Protocol
 
 from flintridge.core.response import DownstreamClosedError
@@ -18,7 +19,7 @@
             OSError: The connection has ended.
         """
 
-    def write(self, buffers: list[bytes]) -> None:
+    def write(self, buffers: Sequence[bytes | bytearray]) -> None:
         """Write to the client without waiting."""
 
     def complete_stream(self) -> None:
@@ -27,6 +28,9 @@
     def abort_stream(self) -> None:
         """Close the connection with the value incomplete."""
 
+    def fail_stream(self) -> None:
+        """Fail the request; nothing of the value was written."""
+
 
 class ClientStream:
     """A long value that is streamed to a client once `start` was called."""
@@ -58,18 +62,26 @@
         except (OSError, DeadlineExceededError) as error:
             raise DownstreamClosedError(repr(error)) from error
 
-    def write(self, chunks: list[bytes]) -> None:
-        """Write the next chunks."""
+    def write(self, chunks: Sequence[bytes | bytearray]) -> None:
+        """Write the next chunks; the first ones follow the response line."""
+        if not chunks:
+            return
         if self._head:
             chunks = [self._head, *chunks]
             self._head = b""
-        if chunks:
-            self._channel.write(chunks)
+        self._channel.write(chunks)
 
     def end(self) -> None:
         """Complete the value."""
         self._channel.complete_stream()
 
     def abort(self) -> None:
-        """End the value incomplete: the client gets fewer bytes than announced, and the end of the stream."""
-        self._channel.abort_stream()
+        """End the response with the value incomplete.
+
+        The client gets a failure if nothing of the value was written. Otherwise it gets fewer bytes than were
+        announced, and the end of the stream.
+        """
+        if self._head:
+            self._channel.fail_stream()
+        else:
+            self._channel.abort_stream()
--- a/flintridge/lab/defects/interception.py
+++ b/flintridge/lab/defects/interception.py
@@ -44,6 +44,10 @@
         """See `Responder.check_client`."""
         self.responder.check_client()
 
+    def hold_later_commands(self) -> bool:
+        """See `Responder.hold_later_commands`."""
+        return self.responder.hold_later_commands()
+
     def start_stream(self, length: int) -> StreamedResponse:
         """See `Responder.start_stream`."""
         return self.responder.start_stream(length)
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -125,6 +125,7 @@
             self.log,
             self.counters,
             self.core.start_stream,
+            self.config.response_budget_bytes,
         )
 
     def _make_discovery_watcher(self) -> DiscoveryWatcher:
@@ -248,6 +249,7 @@
         count = 1 if self._worker_processes is None else self._worker_processes.count
         limits = process_limits(self.config, count)
         self.core.memory_budget.resize(limits.memory_bytes)
+        self.dispatcher.value_memory.resize(limits.response_memory_bytes)
         self.dispatcher.pool.max_connections = limits.server_connections
         self.downstream.connections.limit = limits.client_connections
         self._fleet.process_count_changed(count)
--- a/flintridge/reload.py
+++ b/flintridge/reload.py
@@ -56,11 +56,14 @@
 
     Attributes:
         memory_bytes: Memory for the values of writes; always enough for one value of the maximum size.
+        response_memory_bytes: Memory for long values that are collected before they are sent to clients;
+            always enough for one value of the maximum size.
         server_connections: Maximum number of open connections to servers.
         client_connections: Maximum number of open client connections.
     """
 
     memory_bytes: int
+    response_memory_bytes: int
     server_connections: int
     client_connections: int
 
@@ -74,6 +77,7 @@
     """
     return ProcessLimits(
         memory_bytes=max(MAX_VALUE_BYTES, config.memory_budget_bytes // process_count),
+        response_memory_bytes=max(MAX_VALUE_BYTES, config.response_budget_bytes // process_count),
         server_connections=config.server_sockets // process_count,
         client_connections=config.client_sockets // process_count,
     )
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -14,6 +14,7 @@
 from flintridge.codec.http.origin import OriginExchange, OriginHealthCheck
 from flintridge.codec.memcache.exchange import CacheExchange, CacheHealthCheck
 from flintridge.core.exchange import Exchange
+from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.request import UpstreamAttempt
 from flintridge.core.response import AttemptResult, StreamedResponse, StreamedValue
 from flintridge.discovery.endpoint_list import EndpointAddress, EndpointList
@@ -26,7 +27,7 @@
 from flintridge.upstream.connection_pool import ConnectionLimitError, ConnectionPool
 from flintridge.upstream.connector import Connector, LocalFailureError
 from flintridge.upstream.idle_timeout import MIN_IDLE_MS
-from flintridge.upstream.streaming import ValueForwarder
+from flintridge.upstream.long_value_delivery import DeliveryServices, LongValueDelivery
 
 HEALTH_CHECK_TIMEOUT_MS = 500.0
 
@@ -76,6 +77,7 @@
 
     Attributes:
         pool: The connections to servers.
+        value_memory: Memory for long values that are collected before they are forwarded.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         log: EventLog,
         counters: Counters,
         start_stream: StartStream = _stream_nothing,
+        value_memory_bytes: int = 0,
     ) -> None:
         """Create a dispatcher in the running event loop.
 
@@ -99,8 +102,9 @@
             report_end: Called once for each attempt, as the last step of its task.
             log: The node's log.
             counters: The node's counters.
-            start_stream: Called when a long value begins to arrive, which ends the attempt. Returns where to
-                write the value, or None if the client no longer waits for it.
+            start_stream: Called when the response with a long value may begin, which ends the attempt.
+                Returns where to write the value, or None if the client no longer waits for it.
+            value_memory_bytes: Memory for long values that are collected before they are forwarded.
         """
         self.pool = ConnectionPool(max_connections, to_ms(settings.limits.conn_idle_ns), clock, counters)
         self._connector = Connector(self.pool, clock, counters)
@@ -111,7 +115,8 @@
         self._log = log
         self._counters = counters
         self._start_stream = start_stream
-        self._forwarder = ValueForwarder(clock, log, counters)
+        self.value_memory = MemoryBudget(value_memory_bytes, clock)
+        self._delivery_services = DeliveryServices(clock, self.value_memory, log, counters)
         self._tasks: dict[asyncio.Task[None], None] = {}  # an ordered set
 
     def start(self, attempt: UpstreamAttempt) -> None:
@@ -198,11 +203,40 @@
             assert result is not None
             progress.result = result
         else:
-            progress.result = value.result
+            await self._deliver_long_value(attempt, exchange, progress, result)
+        self._release_if_reusable(attempt, exchange, progress)
+
+    async def _deliver_long_value(
+        self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress, result: AttemptResult | None
+    ) -> None:
+        """Deliver the long value that has begun, and record the attempt's result in `progress`.
+
+        Args:
+            attempt: The attempt that the value answers.
+            exchange: The exchange, whose `streamed_value` has begun.
+            progress: The attempt's progress.
+            result: The result of the exchange if it is complete already; None otherwise.
+
+        Raises:
+            DeadlineExceededError: The value has to be complete before its response begins, and is late.
+            OSError: The connection failed before the response began.
+        """
+        value = exchange.streamed_value
+        connection = progress.connection
+        assert value is not None
+        assert connection is not None
+        with LongValueDelivery(attempt, exchange, connection, result, self._delivery_services) as delivery:
+            progress.result = await delivery.receive()
+            if progress.result.outcome is not Outcome.OK:
+                return
+            # The client may read slowly, while the connection can carry other attempts.
+            self._release_if_reusable(attempt, exchange, progress)
             response = self._start_stream(attempt, value)
             if response is not None:
-                await self._forwarder.forward(attempt, exchange, connection, result, response)
-        if exchange.reusable:
+                await delivery.forward(response)
+
+    def _release_if_reusable(self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress) -> None:
+        if exchange.reusable and progress.connection is not None:
             self._release(attempt.server, progress, exchange.names_request)
 
     def _exchange(self, attempt: UpstreamAttempt, endpoint: EndpointAddress) -> Exchange:
--- /dev/null
+++ b/flintridge/upstream/long_value_delivery.py
@@ -0,0 +1,215 @@
+"""Delivers a long value from a server to a client: whole if possible, otherwise in chunks as they arrive.
+
+A value that breaks after its first bytes were forwarded can only be ended by closing the client's connection,
+and with it the requests behind the value that were read from the connection. Therefore a value is forwarded
+before it is complete only if nothing behind it was read, and nothing more is read until it is complete.
+"""
+
+from dataclasses import dataclass
+from types import TracebackType
+
+from flintridge.api import Outcome
+from flintridge.core.exchange import Exchange
+from flintridge.core.memory_budget import MemoryBudget
+from flintridge.core.request import UpstreamAttempt
+from flintridge.core.response import AttemptResult, DownstreamClosedError, StreamedResponse
+from flintridge.errors import FlintridgeError
+from flintridge.runtime.clock import Clock, DeadlineExceededError, with_timeout
+from flintridge.telemetry.counters import Counters
+from flintridge.telemetry.log import EventLog
+from flintridge.upstream.connection import UpstreamConnection
+from flintridge.upstream.value_buffer import ValueBuffer
+
+# How long a value is withheld while nothing behind it was read: if it breaks within this time, the request
+# can be retried. Clients measure the time of a long value's first bytes.
+MAX_HOLD_MS = 250.0
+# How long a value is withheld if requests behind it were read. Clients wait 2 s for the rest of a value, and
+# the node may stall for 150 ms.
+MAX_HOLD_BEFORE_REQUESTS_MS = 1_850.0
+# A server that sends nothing for this long within a value that is being forwarded is considered failed.
+SERVER_STALL_MS = 10_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class DeliveryServices:
+    """What the deliveries of a node share.
+
+    Attributes:
+        clock: The node's clock.
+        memory_budget: Memory for the values that are collected.
+        log: The node's log.
+        counters: The node's counters.
+    """
+
+    clock: Clock
+    memory_budget: MemoryBudget
+    log: EventLog
+    counters: Counters
+
+
+class ValueMemoryError(FlintridgeError):
+    """No memory was free in time for a value that must be whole before it is forwarded."""
+
+
+class LongValueDelivery:
+    """The delivery of one long value. A context manager that releases its memory at the end.
+
+    Call `receive` first, then `forward` if the attempt's result is OK.
+    """
+
+    def __init__(
+        self,
+        attempt: UpstreamAttempt,
+        exchange: Exchange,
+        connection: UpstreamConnection,
+        result: AttemptResult | None,
+        services: DeliveryServices,
+    ) -> None:
+        """Prepare a delivery.
+
+        Args:
+            attempt: The attempt that the value answers.
+            exchange: The exchange, whose `streamed_value` has begun.
+            connection: The connection of the exchange.
+            result: The result of the exchange if it is complete already; None otherwise.
+            services: The services of the node.
+        """
+        assert exchange.streamed_value is not None
+        self._value = exchange.streamed_value
+        self._attempt = attempt
+        self._exchange = exchange
+        self._connection = connection
+        self._result = result
+        self._services = services
+        self._buffer: ValueBuffer | None = None
+        self._must_be_whole = False
+
+    def __enter__(self) -> "LongValueDelivery":
+        return self
+
+    def __exit__(
+        self, error_type: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        if self._buffer is not None:
+            self._buffer.clear()
+
+    # Before the response begins
+
+    async def receive(self) -> AttemptResult:
+        """Receive as much of the value as is needed before the response may begin.
+
+        Returns:
+            The attempt's result; if it is OK, the response may begin.
+
+        Raises:
+            DeadlineExceededError: The value has to be complete first, and is not in time.
+            OSError: The server's connection broke.
+        """
+        self._must_be_whole = not self._attempt.hold_later_commands()
+        if self._try_reserve():
+            assert self._buffer is not None
+            if self._must_be_whole:
+                now = self._services.clock.now()
+                due_at = min(self._attempt.response_due, now + MAX_HOLD_BEFORE_REQUESTS_MS)
+                await with_timeout(self._services.clock, due_at - now, self._collect(self._buffer))
+            else:
+                await self._receive_for_a_while()
+        return self._result or self._value.result
+
+    def _try_reserve(self) -> bool:
+        """Reserve memory that is free.
+
+        Half of the budget stays free for values whose turn it is on their connection. Guards against a
+        deadlock: they would wait for memory that later values of the same connections occupy.
+        """
+        budget = self._services.memory_budget
+        if not budget.try_reserve(self._value.length, keep_free=budget.total // 2):
+            return False
+        self._buffer = ValueBuffer(budget, self._value.length)
+        return True
+
+    async def _receive_for_a_while(self) -> None:
+        assert self._buffer is not None
+        try:
+            await with_timeout(self._services.clock, MAX_HOLD_MS, self._collect(self._buffer))
+        except DeadlineExceededError:
+            self._services.counters.add("long_values_withheld_in_part")
+
+    async def _collect(self, buffer: ValueBuffer) -> None:
+        buffer.append(self._value.take_chunks())
+        while self._result is None:
+            self._result = await self._connection.receive(self._exchange)
+            buffer.append(self._value.take_chunks())
+
+    # The response
+
+    async def forward(self, response: StreamedResponse) -> None:
+        """Write the value to the client, no faster than the client reads.
+
+        Args:
+            response: The response to the client; its `end` or `abort` is called.
+        """
+        complete = False
+        try:
+            await response.wait_writable()
+            if self._must_be_whole and self._buffer is None:
+                await self._receive_in_turn()
+            complete = self._valid_so_far and await self._write_value(response)
+        except DownstreamClosedError:
+            self._services.counters.add("streams_client_closed")
+        except ValueMemoryError:
+            self._services.counters.add("long_values_without_memory")
+        except (OSError, DeadlineExceededError) as error:
+            # The connection's reader keeps the error; its traceback's frames would keep the value in memory.
+            error.with_traceback(None)
+            self._record_broken(error)
+        finally:
+            if complete:
+                response.end()
+            else:
+                response.abort()
+
+    @property
+    def _valid_so_far(self) -> bool:
+        """Whether nothing malformed was received."""
+        return self._result is None or self._result.outcome is Outcome.OK
+
+    async def _receive_in_turn(self) -> None:
+        """Receive the whole value after all earlier responses of the connection were written.
+
+        Raises:
+            ValueMemoryError: No memory was free in time.
+            DeadlineExceededError: The value was not complete in time.
+            OSError: The server's connection broke.
+        """
+        clock = self._services.clock
+        budget = self._services.memory_budget
+        time_left_ms = max(self._attempt.response_due - clock.now(), MAX_HOLD_MS)
+        due_at = clock.now() + min(time_left_ms, MAX_HOLD_BEFORE_REQUESTS_MS)
+        if not await budget.reserve(self._value.length, due_at - clock.now()):
+            raise ValueMemoryError
+        self._buffer = ValueBuffer(budget, self._value.length)
+        await with_timeout(clock, due_at - clock.now(), self._collect(self._buffer))
+
+    async def _write_value(self, response: StreamedResponse) -> bool:
+        """Write what was collected, then the rest as it arrives. Returns whether the value is valid."""
+        await self._write_collected(response)
+        while True:
+            await response.wait_writable()
+            response.write(self._value.take_chunks())
+            if self._result is not None:
+                return self._valid_so_far
+            receiving = self._connection.receive(self._exchange)
+            self._result = await with_timeout(self._services.clock, SERVER_STALL_MS, receiving)
+
+    async def _write_collected(self, response: StreamedResponse) -> None:
+        if self._buffer is None:
+            return
+        while (segment := self._buffer.take_segment()) is not None:
+            response.write([segment])
+            await response.wait_writable()
+
+    def _record_broken(self, error: Exception) -> None:
+        attempt = self._attempt
+        self._services.counters.add("streams_broken")
+        self._services.log.event("stream_broken", server=attempt.server, id=attempt.id, error=repr(error))
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -105,6 +105,10 @@
     def check_client(self) -> None:
         """The client never disconnects."""
 
+    def hold_later_commands(self) -> bool:
+        """The client sends no other command."""
+        return True
+
     def respond(self, response: Response) -> None:
         self.responses.append(response.body)
 
--- /dev/null
+++ b/tests/test_broken_values.py
@@ -0,0 +1,163 @@
+"""Long values that break after they have begun, with other commands before and behind them."""
+
+import asyncio
+
+import pytest
+from support.breaking_servers import BROKEN_KEY, MISSING_KEY, Break, BreakingFleet
+from support.long_values import LENGTH, VALUE
+from support.network import until
+
+from flintridge.upstream.long_value_delivery import MAX_HOLD_MS
+
+FAILED = b"SERVER_ERROR failed\r\n"
+DEADLINE_MS = 2_000
+EVERY = 1_000
+
+
+def read(key: str, request_id: str) -> bytes:
+    return f"mg {key} v O{request_id} Pc=read,t=acme,d={DEADLINE_MS}\r\n".encode()
+
+
+def order(key: str, request_id: str) -> bytes:
+    head = f"ms {key} {LENGTH} O{request_id} Pc=put,t=acme,d={DEADLINE_MS},k=k{request_id}\r\n"
+    return head.encode() + VALUE + b"\r\n"
+
+
+def served(request_id: str, value: bytes) -> tuple[bytes, bytes]:
+    return f"VA {len(value)} O{request_id}\r\n".encode(), value
+
+
+def receipt(request_id: str) -> bytes:
+    return f"HD O{request_id} cr1\r\n".encode()
+
+
+@pytest.mark.parametrize("breaks", [1, EVERY], ids=["once", "always"])
+@pytest.mark.parametrize("how", Break)
+@pytest.mark.parametrize("key", [BROKEN_KEY, MISSING_KEY], ids=["cache", "origin"])
+def test_value_when_it_breaks_then_every_command_around_it_is_answered_in_order(play, key, how, breaks):
+    # Guards against closing the connection within a value and losing the requests behind it that were read.
+    async def test():
+        async with BreakingFleet(how, breaks) as fleet:
+            client = await fleet.connect()
+            before = read("short", "b1") + order("order1", "b2") + read("long", "b3")
+            behind = order("order2", "a1") + read("short", "a2") + read("long", "a3") + b"mn\r\n"
+            client.writer.write(before + read(key, "x") + behind)
+            await fleet.advance_until(lambda: len(client.responses) == 8 or client.ended, 2 * DEADLINE_MS)
+            broken = client.responses[3]
+            assert client.responses == [
+                served("b1", b"ok"),
+                receipt("b2"),
+                served("b3", VALUE),
+                broken,
+                receipt("a1"),
+                served("a2", b"ok"),
+                served("a3", VALUE),
+                b"MN\r\n",
+            ]
+            # A read may also be rejected: it can be repeated without harm.
+            assert broken == served("x", VALUE) or broken.startswith(b"SERVER_ERROR ")
+            assert sorted(fleet.origin.orders) == ["order1", "order2"]
+            client.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", [Break.RESET, Break.CLOSE])
+def test_value_when_it_breaks_at_once_and_nothing_is_behind_it_then_is_retried(play, how):
+    async def test():
+        async with BreakingFleet(how, breaks=1) as fleet:
+            client = await fleet.connect()
+            client.writer.write(read(BROKEN_KEY, "x"))
+            await until(lambda: fleet.cache.reads)
+            client.writer.write(order("order1", "a1") + read("short", "a2"))
+            await fleet.advance_until(lambda: len(client.responses) == 3 or client.ended, DEADLINE_MS)
+            assert client.responses == [served("x", VALUE), receipt("a1"), served("a2", b"ok")]
+            client.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("key", [BROKEN_KEY, MISSING_KEY], ids=["cache", "origin"])
+def test_value_when_it_breaks_after_it_was_begun_then_nothing_behind_it_was_read_or_executed(play, key):
+    # Guards against losing an order that was sent while a value was forwarded.
+    async def test():
+        async with BreakingFleet(Break.HANG, breaks=EVERY) as fleet:
+            client = await fleet.connect()
+            client.writer.write(read(key, "x"))
+            server = fleet.cache if key == BROKEN_KEY else fleet.origin
+            await until(lambda: server.reads)
+            await fleet.advance_until(lambda: fleet.counters["responses_streamed"], 2 * MAX_HOLD_MS)
+            client.writer.write(order("order1", "a1") + read("short", "a2"))
+            await asyncio.sleep(0.05)
+            server.close()
+            await until(lambda: client.ended)
+            assert client.responses == []
+            assert 0 < client.partial_bytes < LENGTH
+            assert fleet.counters["requests"] == 1
+            assert fleet.origin.orders == []
+            assert "short" not in fleet.cache.reads
+            client.close()
+
+    play(test)
+
+
+def test_value_when_no_memory_is_free_and_requests_are_behind_it_then_fails_and_they_are_answered(play):
+    async def test():
+        async with BreakingFleet(Break.RESET, breaks=0) as fleet:
+            memory = fleet.node.dispatcher.value_memory
+            assert memory.try_reserve(memory.total)  # on behalf of other values
+            client = await fleet.connect()
+            client.writer.write(read("long", "x") + order("order1", "a1") + read("short", "a2"))
+            await fleet.advance_until(lambda: len(client.responses) == 3 or client.ended, 2 * DEADLINE_MS)
+            assert client.responses == [FAILED, receipt("a1"), served("a2", b"ok")]
+            assert fleet.counters["long_values_without_memory"] == 1
+            memory.release(memory.total)
+            client.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", Break)
+def test_value_when_it_breaks_after_it_waited_for_its_turn_then_fails_and_the_others_are_answered(play, how):
+    # Guards against forwarding a part of a value that was collected late.
+    async def test():
+        async with BreakingFleet(how, breaks=EVERY) as fleet:
+            fleet.node.dispatcher.value_memory.resize(LENGTH)
+            client = await fleet.connect()
+            client.writer.write(read("short", "b1") + read(BROKEN_KEY, "x") + read("short", "a1"))
+            await fleet.advance_until(lambda: len(client.responses) == 3 or client.ended, 2 * DEADLINE_MS)
+            assert client.responses == [served("b1", b"ok"), FAILED, served("a1", b"ok")]
+            client.close()
+
+    play(test)
+
+
+def test_value_when_no_memory_is_free_and_nothing_is_behind_it_then_is_streamed(play):
+    async def test():
+        async with BreakingFleet(Break.RESET, breaks=0) as fleet:
+            memory = fleet.node.dispatcher.value_memory
+            assert memory.try_reserve(memory.total)  # on behalf of other values
+            client = await fleet.connect()
+            client.writer.write(read("long", "x"))
+            await until(lambda: len(client.responses) == 1)
+            client.writer.write(read("long", "y") + b"mn\r\n")
+            memory.release(memory.total)
+            await until(lambda: len(client.responses) == 3)
+            assert client.responses == [served("x", VALUE), served("y", VALUE), b"MN\r\n"]
+            client.close()
+
+    play(test)
+
+
+def test_values_when_many_are_pipelined_and_memory_is_short_then_all_are_served_in_order(play):
+    async def test():
+        async with BreakingFleet(Break.RESET, breaks=0) as fleet:
+            fleet.node.dispatcher.value_memory.resize(2 * LENGTH)
+            client = await fleet.connect()
+            ids = [f"x{number}" for number in range(16)]
+            client.writer.write(b"".join(read("long", request_id) for request_id in ids))
+            await until(lambda: len(client.responses) == len(ids))
+            assert client.responses == [served(request_id, VALUE) for request_id in ids]
+            client.close()
+
+    play(test)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -43,6 +43,7 @@
 def test_limits_when_the_node_has_several_processes_then_each_has_an_equal_fraction(process_count):
     limits = process_limits(CONFIG, process_count)
     assert limits.memory_bytes == CONFIG.memory_budget_bytes // process_count
+    assert limits.response_memory_bytes == CONFIG.response_budget_bytes // process_count
     assert limits.client_connections == CONFIG.client_sockets // process_count
     assert limits.server_connections == CONFIG.server_sockets // process_count
 
@@ -50,3 +51,4 @@
 def test_limits_when_memory_is_short_then_a_value_of_the_maximum_size_still_fits():
     limits = process_limits(replace(CONFIG, memory_mb=1.0), 2)
     assert limits.memory_bytes == MAX_VALUE_MB * 1024 * 1024
+    assert limits.response_memory_bytes == MAX_VALUE_MB * 1024 * 1024
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -9,7 +9,7 @@
 
 from flintridge.lab import virtual
 from flintridge.runtime.streams import READ_MAX_BYTES as READ_AT_A_TIME
-from flintridge.upstream.streaming import SERVER_STALL_MS
+from flintridge.upstream.long_value_delivery import SERVER_STALL_MS
 
 
 class StreamingHarness(UpstreamHarness):
