Count a long order as written if its time ends with its last byte

Cause: the check for this crossing covered the last drain, not those of a long value's chunks. Change: one loop over batches, with a count of the bytes that were not passed on yet.

--- a/flintridge/upstream/connection.py
+++ b/flintridge/upstream/connection.py
@@ -6,7 +6,7 @@
 import math
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from flintridge.config.address import Address
@@ -22,10 +22,32 @@
 WRITE_CHUNK_BYTES = 64 * 1024  # how much of a long value is passed to the transport at a time
 
 
+RequestPiece = bytes | bytearray | memoryview
+
+
 def _allow_begin() -> None:
     """Default check: writing may begin at any time."""
 
 
+def _write_batches(pieces: Sequence[bytes | bytearray]) -> Iterator[list[RequestPiece]]:
+    """Yield the pieces of a request in the batches that are passed to the transport at a time.
+
+    A long value is divided, as the transport copies whatever the server has not read yet.
+    """
+    batch: list[RequestPiece] = []
+    for piece in pieces:
+        if len(piece) <= WRITE_CHUNK_BYTES:
+            batch.append(piece)
+            continue
+        if batch:
+            yield batch
+        batch = []
+        for start in range(0, len(piece), WRITE_CHUNK_BYTES):
+            yield [memoryview(piece)[start : start + WRITE_CHUNK_BYTES]]
+    if batch:
+        yield batch
+
+
 class UpstreamReader(TrackingReader):
     """Reports input that arrives while the connection is idle.
 
@@ -129,29 +151,23 @@
                 return result
 
     async def _write(self, exchange: Exchange, clock: Clock, check_may_begin: Callable[[], None]) -> None:
-        pieces: list[bytes | bytearray] = []
-        for piece in exchange.encode_request():
-            if len(piece) <= WRITE_CHUNK_BYTES:
-                pieces.append(piece)
-                continue
-            # A long value is written in chunks, as the transport copies whatever the server has not read yet.
-            await self._write_pieces(pieces, clock, check_may_begin)
-            pieces = []
-            for start in range(0, len(piece), WRITE_CHUNK_BYTES):
-                self.writer.write(memoryview(piece)[start : start + WRITE_CHUNK_BYTES])
-                await self.writer.drain()
+        pieces = exchange.encode_request()
+        bytes_to_pass = sum(map(len, pieces))
         try:
-            await self._write_pieces(pieces, clock, check_may_begin)
-            await self.writer.drain()  # high-water mark 0: returns once everything is written
+            for batch in _write_batches(pieces):
+                bytes_to_pass -= sum(map(len, batch))
+                await self._write_pieces(batch, clock, check_may_begin)
+                await self.writer.drain()  # high-water mark 0: returns once everything is written
         except asyncio.CancelledError:
             # The timeout can occur in the same loop iteration in which the last byte was written, before this
             # task resumes. The server may execute that request, so it must not count as never sent.
             transport = self.writer.transport
-            self.request_written = not transport.is_closing() and not transport.get_write_buffer_size()
+            unwritten_bytes = bytes_to_pass + transport.get_write_buffer_size()
+            self.request_written = not transport.is_closing() and not unwritten_bytes
             raise
 
     async def _write_pieces(
-        self, pieces: list[bytes | bytearray], clock: Clock, check_may_begin: Callable[[], None]
+        self, pieces: list[RequestPiece], clock: Clock, check_may_begin: Callable[[], None]
     ) -> None:
         """Write pieces of a request; for the first pieces, wait until the kernel has accepted a byte."""
         if self.request_begun:
--- a/tests/upstream/test_attempt_termination.py
+++ b/tests/upstream/test_attempt_termination.py
@@ -21,7 +21,7 @@
 from flintridge import api
 from flintridge.api import Outcome
 from flintridge.core.response import AttemptResult, Response
-from flintridge.upstream.connection import UpstreamConnection, UpstreamReader
+from flintridge.upstream.connection import WRITE_CHUNK_BYTES, UpstreamConnection, UpstreamReader
 from flintridge.upstream.connection_pool import QUARANTINE_MS
 
 
@@ -102,7 +102,14 @@
 
 
 @pytest.mark.parametrize("limit", ["until", "written_by"])
-def test_attempt_when_it_times_out_as_its_last_byte_goes_out_may_have_been_executed(limit):
+@pytest.mark.parametrize(
+    ("flavor", "value_bytes", "waits"),
+    [("m2", 60_000, 1), ("origin", 60_000 + WRITE_CHUNK_BYTES, 2)],
+    ids=["short value", "long value"],
+)
+def test_attempt_when_it_times_out_as_its_last_byte_goes_out_may_have_been_executed(
+    limit, flavor, value_bytes, waits
+):
     """Guards against reporting a request as never written, and sending it again, though the server has all
     of it."""
 
@@ -122,7 +129,7 @@
         # Keeps most of the request in the node's buffer.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         server = await asyncio.start_server(serve, sock=listener, limit=1024)
-        harness = UpstreamHarness(listener.getsockname()[1])
+        harness = UpstreamHarness(listener.getsockname()[1], flavor=flavor)
         connect = harness.dispatcher.pool.connect
 
         async def connected(*where) -> UpstreamConnection:
@@ -132,23 +139,29 @@
 
         harness.dispatcher.pool.connect = connected
         wait, limits = (400, {}) if limit == "until" else (5_000, {"written_by": 400})
-        await harness.start(value=b"x" * 60_000, wait=wait, **limits)
+        await harness.start(value=b"x" * value_bytes + b"!", wait=wait, **limits)
         await until(lambda: harness.connections)
         transport = next(iter(harness.connections)).writer.transport
         await until(transport.get_write_buffer_size)
         protocol = transport.get_protocol()
         resume = protocol.resume_writing
 
+        resumed = 0
+
         def crossing() -> None:
+            nonlocal resumed
             resume()
-            harness.clock.advance(400)
+            resumed += 1
+            if resumed == waits:
+                harness.clock.advance(400)
 
         protocol.resume_writing = crossing
         free.set()
         await until(lambda: harness.results)
         assert harness.results[0].outcome is Outcome.TIMEOUT
-        await until(lambda: b"".join(got).endswith(b"x\r\n"))  # the server received all of it
-        assert len(b"".join(got)) > 60_000
+        end = b"!\r\n" if flavor == "m2" else b"!"
+        await until(lambda: b"".join(got).endswith(end))  # the server received all of it
+        assert len(b"".join(got)) > value_bytes
         await harness.dispatcher.close()
         server.close()
 
