Test random pipelines around values that break at random

Need: no order of commands, breaks and pieces may leave a request that was read without an answer. Change: 40 seeds in virtual time draw commands (short, long and breaking reads, long orders), cuts, pauses, the kinds of breaks and the memory.

--- a/tests/support/breaking_servers.py
+++ b/tests/support/breaking_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 from flintridge.config.address import Address
 from flintridge.config.node_config import NodeConfig
@@ -33,7 +34,7 @@
         reads: The keys of the reads, in order.
     """
 
-    def __init__(self, how: Break, breaks: int) -> None:
+    def __init__(self, how: Callable[[], Break], breaks: int) -> None:
         self.breaks_left = breaks
         self.orders: list[str] = []
         self.reads: list[str] = []
@@ -69,13 +70,14 @@
             writer.write(head + value + end)
             return True
         self.breaks_left -= 1
-        if self._how is Break.NOISE:
+        how = self._how()
+        if how is Break.NOISE:
             writer.write(head + value + b"noise" + end)
             return True
         writer.write(head + value[: LENGTH // 2])
-        if self._how is Break.HANG:
+        if how is Break.HANG:
             return True
-        if self._how is Break.CLOSE:
+        if how is Break.CLOSE:
             writer.close()
         else:
             asyncio.get_running_loop().call_soon(writer.transport.abort)
@@ -115,10 +117,11 @@
 class BreakingFleet:
     """A node with a manual clock, a cache server and an origin; use as an async context manager."""
 
-    def __init__(self, how: Break, breaks: int, memory_mb: float = 64.0) -> None:
-        self.cache = BreakingCache(how, breaks)
-        self.origin = BreakingOrigin(how, breaks)
-        self._memory_mb = memory_mb
+    def __init__(self, how: Break | Callable[[], Break], breaks: int) -> None:
+        """Create the servers; `how` is drawn anew for each value if it can be called."""
+        draw = (lambda: how) if isinstance(how, Break) else how
+        self.cache = BreakingCache(draw, breaks)
+        self.origin = BreakingOrigin(draw, breaks)
 
     async def __aenter__(self) -> "BreakingFleet":
         await self.cache.listen()
@@ -134,7 +137,7 @@
             Address("127.0.0.1", 9),  # no discovery: the known list stays
             1,
             SETTINGS,
-            memory_mb=self._memory_mb,
+            memory_mb=64.0,
             kinds=("box", "origin"),
             known={"revision": 1, "complete": True, "members": members},
         )
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -1,12 +1,14 @@
 """Long values that break after they have begun, with other commands before and behind them."""
 
 import asyncio
+import random
 
 import pytest
-from support.breaking_servers import BROKEN_KEY, MISSING_KEY, Break, BreakingFleet
+from support.breaking_servers import BROKEN_KEY, LONG_KEYS, MISSING_KEY, Break, BreakingFleet
 from support.long_values import LENGTH, VALUE
 from support.network import until
 
+from flintridge.lab import virtual
 from flintridge.upstream.long_value_delivery import MAX_HOLD_MS
 
 FAILED = b"SERVER_ERROR failed\r\n"
@@ -159,3 +161,57 @@
             client.close()
 
     play(test)
+
+
+class RandomPipeline:
+    """A random sequence of commands, and the responses that are right for each."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.commands: list[bytes] = []
+        self.is_order: list[bool] = []
+        self._right: list[set[bytes | tuple[bytes, bytes]]] = []
+        for number in range(rng.randint(2, 12)):
+            request_id = f"r{number}"
+            key = rng.choice(["short", "long", BROKEN_KEY, MISSING_KEY, "order"])
+            self.is_order.append(key == "order")
+            if key == "order":
+                self.commands.append(order(f"order{number}", request_id))
+                self._right.append({receipt(request_id)})
+            else:
+                self.commands.append(read(key, request_id))
+                self._right.append({served(request_id, VALUE if key in LONG_KEYS else b"ok")})
+
+    def is_right(self, position: int, response: bytes | tuple[bytes, bytes]) -> bool:
+        """Whether a response is the value made for the command, a failure or a rejection."""
+        if isinstance(response, bytes) and response.startswith(b"SERVER_ERROR "):
+            return True
+        return response in self._right[position]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_commands_when_values_break_at_random_then_none_that_was_read_goes_unanswered(seed):
+    # Guards against any order of commands, breaks and pieces in which a request that was read gets no answer.
+    async def test():
+        rng = random.Random(seed)
+        pipeline = RandomPipeline(rng)
+        async with BreakingFleet(lambda: rng.choice(list(Break)), breaks=rng.randint(0, 6)) as fleet:
+            fleet.node.dispatcher.value_memory.resize(rng.choice([LENGTH, 3 * LENGTH, 100 * LENGTH]))
+            client = await fleet.connect()
+            data = b"".join(pipeline.commands)
+            cuts = sorted(rng.randrange(len(data)) for _ in range(rng.randint(0, 4)))
+            for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
+                client.writer.write(data[start:end])
+                await asyncio.sleep(0.001)
+                fleet.clock.advance(rng.choice([0, 0, 10, 300]))
+            count = len(pipeline.commands)
+            await fleet.advance_until(lambda: len(client.responses) == count or client.ended, 60_000)
+            responses = client.responses
+            assert all(pipeline.is_right(position, response) for position, response in enumerate(responses))
+            if client.ended:
+                assert client.partial_bytes  # only a value that was begun ends a connection
+                assert fleet.counters["requests"] <= len(responses) + 1
+            answered_orders = sum(pipeline.is_order[: len(responses)])
+            assert len(fleet.origin.orders) <= answered_orders
+            client.close()
+
+    virtual.run(test())
