Withhold a long value for 20 ms at most, and never past its request's deadline

Cause: with nothing behind it a value was withheld for 250 ms, and clients time its first bytes; the time was not limited by the request's deadline, so the core failed the request. Change: 20 ms, within the deadline.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -22,10 +22,12 @@
 
 # How long a value is withheld while nothing behind it was read: if it breaks within this time, the request
 # can be retried. Clients measure the time of a long value's first bytes.
-MAX_HOLD_MS = 250.0
+MAX_HOLD_MS = 20.0
 # How long a value is withheld if requests behind it were read. Clients wait 2 s for the rest of a value, and
 # the node may stall for 150 ms.
 MAX_HOLD_BEFORE_REQUESTS_MS = 1_850.0
+# How long a value is collected at its turn if its client's time passed while it waited for earlier responses.
+LATE_COLLECT_MS = 250.0
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
@@ -109,11 +111,9 @@
         if self._try_reserve():
             assert self._buffer is not None
             if self._must_be_whole:
-                now = self._services.clock.now()
-                due_at = min(self._attempt.response_due, now + MAX_HOLD_BEFORE_REQUESTS_MS)
-                await with_timeout(self._services.clock, due_at - now, self._collect(self._buffer))
+                await self._collect_for(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
             else:
-                await self._receive_for_a_while()
+                await self._collect_part(self._buffer)
         return self._result or self._value.result
 
     def _try_reserve(self) -> bool:
@@ -128,13 +128,24 @@
         self._buffer = ValueBuffer(budget, self._value.length)
         return True
 
-    async def _receive_for_a_while(self) -> None:
-        assert self._buffer is not None
+    async def _collect_part(self, buffer: ValueBuffer) -> None:
+        """Collect what arrives before the response has to begin; the value may then be incomplete."""
         try:
-            await with_timeout(self._services.clock, MAX_HOLD_MS, self._collect(self._buffer))
+            await self._collect_for(MAX_HOLD_MS, buffer)
         except DeadlineExceededError:
             self._services.counters.add("long_values_withheld_in_part")
 
+    async def _collect_for(self, max_ms: float, buffer: ValueBuffer) -> None:
+        """Collect the whole value within `max_ms` and before the response is due.
+
+        Raises:
+            DeadlineExceededError: The value was not complete in time.
+            OSError: The server's connection broke.
+        """
+        clock = self._services.clock
+        time_left_ms = self._attempt.response_due - clock.now()
+        await with_timeout(clock, min(max_ms, time_left_ms), self._collect(buffer))
+
     async def _collect(self, buffer: ValueBuffer) -> None:
         buffer.append(self._value.take_chunks())
         while self._result is None:
@@ -184,7 +195,7 @@
         """
         clock = self._services.clock
         budget = self._services.memory_budget
-        time_left_ms = max(self._attempt.response_due - clock.now(), MAX_HOLD_MS)
+        time_left_ms = max(self._attempt.response_due - clock.now(), LATE_COLLECT_MS)
         due_at = clock.now() + min(time_left_ms, MAX_HOLD_BEFORE_REQUESTS_MS)
         if not await budget.reserve(self._value.length, due_at - clock.now()):
             raise ValueMemoryError
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -16,8 +16,8 @@
 EVERY = 1_000
 
 
-def read(key: str, request_id: str) -> bytes:
-    return f"mg {key} v O{request_id} Pc=read,t=acme,d={DEADLINE_MS}\r\n".encode()
+def read(key: str, request_id: str, deadline_ms: float = DEADLINE_MS) -> bytes:
+    return f"mg {key} v O{request_id} Pc=read,t=acme,d={deadline_ms:.0f}\r\n".encode()
 
 
 def order(key: str, request_id: str) -> bytes:
@@ -87,8 +87,9 @@
             client = await fleet.connect()
             client.writer.write(read(key, "x"))
             server = fleet.cache if key == BROKEN_KEY else fleet.origin
-            await until(lambda: server.reads)
-            await fleet.advance_until(lambda: fleet.counters["responses_streamed"], 2 * MAX_HOLD_MS)
+            await until(lambda: fleet.node.dispatcher.value_memory.reserved)  # the value has begun to arrive
+            fleet.clock.advance(MAX_HOLD_MS)
+            await until(lambda: fleet.counters["responses_streamed"])
             client.writer.write(order("order1", "a1") + read("short", "a2"))
             await asyncio.sleep(0.05)
             server.close()
@@ -103,6 +104,24 @@
     play(test)
 
 
+def test_value_when_it_is_withheld_as_its_response_becomes_due_then_is_forwarded_in_time(play):
+    # Guards against withholding the first bytes of a slow server's value until its request is overdue.
+    async def test():
+        async with BreakingFleet(Break.HANG, breaks=EVERY) as fleet:
+            client = await fleet.connect()
+            client.writer.write(read(BROKEN_KEY, "x", deadline_ms=MAX_HOLD_MS / 2))
+            await until(lambda: fleet.node.dispatcher.value_memory.reserved)  # the value has begun to arrive
+            (request,) = fleet.node.core.open_requests
+            assert not request.responded
+            fleet.clock.advance(request.deadline - fleet.clock.now())
+            await until(lambda: fleet.counters["responses_streamed"])
+            fleet.clock.advance(DEADLINE_MS)
+            assert fleet.counters["responses_overdue"] == 0
+            client.close()
+
+    play(test)
+
+
 def test_value_when_no_memory_is_free_and_requests_are_behind_it_then_fails_and_they_are_answered(play):
     async def test():
         async with BreakingFleet(Break.RESET, breaks=0) as fleet:
