--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -12,7 +12,7 @@
 
 from flintridge.api import RequestClass, Settings, Tenant
 from flintridge.codec.memcache.command_parser import CommandParser
-from flintridge.codec.memcache.commands import NoOp
+from flintridge.codec.memcache.commands import NoOp, ValueAnnounced
 from flintridge.core.request import Request
 
 HOST = "127.0.0.1"
@@ -58,9 +58,12 @@
         """Answer the memcache commands of one connection to the cache server at `port`."""
         parser = CommandParser(SETTINGS)
         while data := await reader.read(READ_BYTES):
-            for command in parser.feed(data):
+            parser.feed(data)
+            while (command := parser.next_command()) is not None:
                 if isinstance(command, Request):
                     writer.write(self.look_up(port, command))
+                elif isinstance(command, ValueAnnounced):
+                    parser.admit_value(True)
                 else:
                     writer.write(b"MN\r\n" if isinstance(command, NoOp) else b"CLIENT_ERROR bad\r\n")
         writer.close()
--- a/flintridge/codec/http/exchange.py
+++ b/flintridge/codec/http/exchange.py
@@ -6,7 +6,7 @@
 import h11
 
 from flintridge.codec.errors import MalformedError
-from flintridge.codec.long_value import LONG_VALUE_BYTES, LongValueReader
+from flintridge.codec.long_value import LONG_VALUE_BYTES, UNRESERVED_VALUE_BYTES, ValueReader
 from flintridge.errors import FlintridgeError
 
 RESPONSE_START = b"HTTP/1."
@@ -64,7 +64,8 @@
 
     Attributes:
         reusable: Whether the connection may carry another exchange.
-        streamed_value: The long value that is being received, if any.
+        streamed_value: The value that is being received, if it needs reserved memory.
+        unreserved_body_bytes: How long the body may get, if memory must be reserved for it; otherwise 0.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes | bytearray = b"",
         max_body_bytes: int = LONG_VALUE_BYTES,
-        stream_body: Callable[[h11.Response], LongValueReader | None] | None = None,
+        stream_body: Callable[[h11.Response], ValueReader | None] | None = None,
     ) -> None:
         """Prepare a request.
 
@@ -84,8 +85,8 @@
             headers: The request headers.
             body: The request body.
             max_body_bytes: The maximum size of the response body, in bytes.
-            stream_body: Called with the response head. Returns a reader if the body is a long value, to which
-                `max_body_bytes` does not apply; otherwise None.
+            stream_body: Called with the response head. Returns a reader if the body is a value that needs
+                reserved memory, to which `max_body_bytes` does not apply; otherwise None.
         """
         self._request = h11.Request(method=method, target=target, headers=headers)
         self._request_body = body
@@ -96,7 +97,8 @@
         self._head: h11.Response | None = None
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
-        self.streamed_value: LongValueReader | None = None
+        self.streamed_value: ValueReader | None = None
+        self.unreserved_body_bytes = 0
         self.reusable = False
 
     def encode_request(self) -> list[bytes | bytearray]:
@@ -129,9 +131,7 @@
                 return None
             if isinstance(event, h11.Response):
                 check_body_framing(event)
-                self._head = event
-                if self._stream_body is not None:
-                    self.streamed_value = self._stream_body(event)
+                self._begin_body(event)
             elif isinstance(event, h11.Data):
                 self._take_body(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -145,6 +145,16 @@
         if not RESPONSE_START.startswith(self._start):
             raise HttpResponseError("response does not start with HTTP/1.")
 
+    def _begin_body(self, head: h11.Response) -> None:
+        self._head = head
+        if self._stream_body is not None:
+            self.streamed_value = self._stream_body(head)
+        if self.streamed_value is None:
+            length = header_value(head, b"content-length") or b""
+            body_bytes = int(length) if length.isdigit() else self._max_body_bytes
+            if body_bytes > UNRESERVED_VALUE_BYTES:
+                self.unreserved_body_bytes = min(body_bytes, self._max_body_bytes)
+
     def _take_body(self, chunk: bytes) -> None:
         if self.streamed_value is not None:
             try:
--- a/flintridge/codec/http/origin.py
+++ b/flintridge/codec/http/origin.py
@@ -7,7 +7,7 @@
 from flintridge.api import Outcome
 from flintridge.codec.http.exchange import HttpExchange, HttpResponse, header_value
 from flintridge.codec.load_report import parse_load_report
-from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES, LongValueReader
+from flintridge.codec.long_value import MAX_VALUE_BYTES, UNRESERVED_VALUE_BYTES, ValueReader
 from flintridge.codec.memcache.syntax import is_receipt
 from flintridge.core.request import Request
 from flintridge.core.response import AttemptResult, Response
@@ -31,7 +31,12 @@
         return self._http.reusable
 
     @property
-    def streamed_value(self) -> LongValueReader | None:
+    def unreserved_body_bytes(self) -> int:
+        """See `Exchange.unreserved_body_bytes`."""
+        return self._http.unreserved_body_bytes
+
+    @property
+    def streamed_value(self) -> ValueReader | None:
         """See `Exchange.streamed_value`."""
         return self._http.streamed_value
 
@@ -78,18 +83,20 @@
         self._id = request.id
         self._write = request.write
         method = b"PUT" if self._write else b"GET"
-        stream_body = None if self._write else self._long_value
+        stream_body = None if self._write else self._begin_value
         super().__init__(HttpExchange(method, target, headers, request.value or b"", stream_body=stream_body))
 
-    def _long_value(self, head: h11.Response) -> LongValueReader | None:
-        """Return a reader if the response is a valid long value with a Content-Length, otherwise None."""
-        if head.status_code != STATUS_OK or header_value(head, b"req-id") not in (None, self._id):
+    def _begin_value(self, head: h11.Response) -> ValueReader | None:
+        """Return a reader if the body is a value that needs reserved memory and has a Content-Length."""
+        response_id = header_value(head, b"req-id")
+        if head.status_code != STATUS_OK or response_id not in (None, self._id):
             return None
         length = header_value(head, b"content-length") or b""
-        if not length.isdigit() or not LONG_VALUE_BYTES < int(length) <= MAX_VALUE_BYTES:
+        if not length.isdigit() or not UNRESERVED_VALUE_BYTES < int(length) <= MAX_VALUE_BYTES:
             return None
         load = parse_load_report(header_value(head, b"srv-load") or b"")
-        return LongValueReader(int(length), AttemptResult(Outcome.OK, load=load))
+        self.names_request = response_id == self._id
+        return ValueReader(int(length), AttemptResult(Outcome.OK, load=load))
 
     def _result(self, response: HttpResponse) -> AttemptResult:
         if self.streamed_value is not None:
--- a/flintridge/codec/long_value.py
+++ b/flintridge/codec/long_value.py
@@ -1,15 +1,17 @@
-"""Reader for a long value in a server's response, which is forwarded in chunks as it arrives."""
+"""Sizes of values, and the reader for a value in a server's response that needs reserved memory."""
 
 from flintridge.codec.errors import MalformedError
 from flintridge.core.response import AttemptResult
 
-# A larger value is a long value: it is forwarded in chunks when read, and needs reserved memory when written.
+# A larger value is received only after memory was reserved for it, from a client as well as from a server.
+UNRESERVED_VALUE_BYTES = 2 * 1024
+# A larger value is a long value: it is forwarded in chunks when read.
 LONG_VALUE_BYTES = 64 * 1024
 MAX_VALUE_BYTES = 4 * 1024 * 1024
 
 
-class LongValueReader:
-    """Splits an arriving long value into chunks, and withholds its last byte until its terminator is valid.
+class ValueReader:
+    """Splits an arriving value into chunks, and withholds its last byte until its terminator is valid.
 
     Guards the client against accepting a value as complete although its terminator was malformed: in that
     case the client never gets the last byte.
--- a/flintridge/codec/memcache/command_parser.py
+++ b/flintridge/codec/memcache/command_parser.py
@@ -1,16 +1,17 @@
 """Incremental parser for the commands of a memcache client."""
 
 import enum
+from dataclasses import replace
 
 from flintridge.api import Settings
 from flintridge.codec.errors import MalformedError
-from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES
+from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES, UNRESERVED_VALUE_BYTES
 from flintridge.codec.memcache.commands import (
     Command,
     InvalidCommand,
-    LongValueAnnounced,
-    LongValueSkipped,
     NoOp,
+    ValueAnnounced,
+    ValueSkipped,
 )
 from flintridge.codec.memcache.request_parser import RequestParser
 from flintridge.codec.memcache.syntax import CRLF, MAX_LINE_BYTES
@@ -22,33 +23,45 @@
 class _State(enum.Enum):
     """What the next bytes contain.
 
-    COMMAND_LINE -> SHORT_VALUE, AWAITING_ADMISSION or FAILED
+    COMMAND_LINE -> SHORT_VALUE, AWAITING_ADMISSION, SKIPPING_VALUE or FAILED
     SHORT_VALUE -> COMMAND_LINE or FAILED
-    AWAITING_ADMISSION -> LONG_VALUE or SKIPPING_VALUE, by `admit_long_value`
-    LONG_VALUE -> COMMAND_LINE or FAILED
+    AWAITING_ADMISSION -> RESERVED_VALUE or SKIPPING_VALUE, by `admit_value`
+    RESERVED_VALUE -> COMMAND_LINE or FAILED
     SKIPPING_VALUE -> COMMAND_LINE or FAILED
     """
 
     COMMAND_LINE = enum.auto()
     SHORT_VALUE = enum.auto()
     AWAITING_ADMISSION = enum.auto()
-    LONG_VALUE = enum.auto()
+    RESERVED_VALUE = enum.auto()
     SKIPPING_VALUE = enum.auto()
     FAILED = enum.auto()
 
 
 class CommandParser:
-    """Parses the commands of one connection. Reports and skips invalid commands if the framing is intact."""
+    """Parses the commands of one connection. Reports and skips invalid commands if the framing is intact.
 
-    def __init__(self, settings: Settings) -> None:
-        self._request_parser = RequestParser(settings)
+    Commands are parsed one at a time, by `next_command`. Guards memory: parsed commands occupy many times
+    their bytes. For the same reason a command line is parsed before its value is received: only the request
+    is retained, not the fields of the line.
+    """
+
+    def __init__(self, settings: Settings, request_parser: RequestParser | None = None) -> None:
+        """Start at the beginning of a connection.
+
+        Args:
+            settings: The node's settings.
+            request_parser: The parser of requests, which connections can share; None creates one.
+        """
+        self._request_parser = request_parser or RequestParser(settings)
         self._state = _State.COMMAND_LINE
         self._buffer = bytearray()
         self._position = 0  # index in the buffer; the bytes before it have been parsed
         self._search_start = 0  # index in the buffer; no unparsed line ends before it
-        self._tokens: list[bytes] = []  # tokens of the `ms` command whose value is being received
+        # What the `ms` command becomes once its value has been received or skipped.
+        self._after_value: Request | InvalidCommand | ValueSkipped = ValueSkipped()
         self._value_length = 0  # length of that value, in bytes
-        self._long_value = bytearray()  # the part of a long value and its CRLF that has arrived
+        self._value = bytearray()  # the part of a value in reserved memory, and of its CRLF, that has arrived
         self._bytes_to_skip = 0
 
     @property
@@ -59,68 +72,82 @@
     @property
     def in_long_value(self) -> bool:
         """Whether the next bytes are the rest of a long value."""
-        return self._state in (_State.LONG_VALUE, _State.SKIPPING_VALUE)
+        in_value = self._state in (_State.RESERVED_VALUE, _State.SKIPPING_VALUE)
+        return in_value and self._value_length > LONG_VALUE_BYTES
 
-    def feed(self, data: bytes) -> list[Command]:
-        """Parse the next bytes, which may be any input.
+    @property
+    def in_reserved_value(self) -> bool:
+        """Whether the next bytes are the rest of a value for which memory is reserved."""
+        return self._state is _State.RESERVED_VALUE
+
+    def feed(self, data: bytes) -> None:
+        """Append the next bytes, which may be any input; `next_command` parses them."""
+        if self._state is _State.RESERVED_VALUE and not self._buffer:
+            self._feed_value(data)
+        elif self._state is not _State.FAILED:
+            self._buffer += data
+
+    def next_command(self) -> Command | None:
+        """Parse the next command.
 
         Returns:
-            The commands that are now complete, in order.
+            The command; None if more bytes are needed, a value awaits admission, or the framing is lost.
         """
-        if self._state is _State.LONG_VALUE and not self._buffer:
-            return self._feed_long_value(data)
-        self._buffer += data
-        return self._parse_buffer()
+        if self._is_stopped():
+            return None
+        command = self._parse_next()
+        if command is None or self._is_stopped():
+            self._discard_parsed()
+        return command
 
-    def admit_long_value(self, admitted: bool) -> list[Command]:
-        """Continue parsing after a `LongValueAnnounced`.
+    def _is_stopped(self) -> bool:
+        return self._state is _State.AWAITING_ADMISSION or self._state is _State.FAILED
+
+    def admit_value(self, admitted: bool) -> None:
+        """Continue parsing after a `ValueAnnounced`.
 
         Args:
             admitted: Whether to read the value; otherwise it is skipped.
-
-        Returns:
-            The commands that are now complete, in order.
         """
         assert self._state is _State.AWAITING_ADMISSION
         if admitted:
-            self._state = _State.LONG_VALUE
-            self._long_value = bytearray()
+            self._state = _State.RESERVED_VALUE
+            self._value = bytearray()
         else:
-            self._state = _State.SKIPPING_VALUE
-            self._bytes_to_skip = self._value_length
-        return self._parse_buffer()
-
-    def _parse_buffer(self) -> list[Command]:
-        commands: list[Command] = []
-        while self._state is not _State.AWAITING_ADMISSION and self._state is not _State.FAILED:
-            command = self._next_command()
-            if command is None:
-                break
-            commands.append(command)
-        if self._state is _State.FAILED:
-            self._buffer.clear()
-            self._long_value = bytearray()
+            self._skip_next_value(ValueSkipped())
+
+    def _discard_parsed(self) -> None:
+        """Remove the bytes from the buffer that have been parsed."""
+        if self._position == len(self._buffer):
+            self._buffer = bytearray()  # unlike `del`, this releases the memory
         else:
             del self._buffer[: self._position]
-            self._search_start -= min(self._position, self._search_start)
+        self._search_start -= min(self._position, self._search_start)
         self._position = 0
-        return commands
 
-    def _next_command(self) -> Command | None:
+    def _parse_next(self) -> Command | None:
         """Parse the next command of the buffer; returns None if more bytes are needed."""
+        command: Command | None = None
         if self._state is _State.COMMAND_LINE:
-            return self._read_line()
+            command = self._read_line()
+        if command is not None:
+            return command
         if self._state is _State.SHORT_VALUE:
             return self._read_short_value()
-        if self._state is _State.LONG_VALUE:
-            return self._read_long_value()
-        return self._skip_value()
+        if self._state is _State.RESERVED_VALUE:
+            return self._read_reserved_value()
+        if self._state is _State.SKIPPING_VALUE:
+            return self._skip_value()
+        return None
 
     def _fail(self, reason: str) -> InvalidCommand:
         self._state = _State.FAILED
+        self._position = len(self._buffer)
+        self._value = bytearray()
         return InvalidCommand(reason, fatal=True)
 
     def _read_line(self) -> Command | None:
+        """Parse a command line; returns None if it is incomplete, or if a value follows."""
         buffer = self._buffer
         start = self._position
         end = buffer.find(CRLF, max(start, self._search_start - 1))
@@ -148,13 +175,25 @@
         length = int(tokens.pop(2))
         if length > MAX_VALUE_BYTES:
             return self._fail("value too large")
-        self._tokens = tokens
+        return self._begin_value(length, self._parse_request(tokens, b""))
+
+    def _begin_value(self, length: int, command: Request | InvalidCommand) -> ValueAnnounced | None:
+        """Continue with the value of a command, whose line has been parsed."""
         self._value_length = length
-        if length > LONG_VALUE_BYTES:
+        self._after_value = command
+        if isinstance(command, InvalidCommand):
+            self._skip_next_value(command)
+        elif length > UNRESERVED_VALUE_BYTES:
             self._state = _State.AWAITING_ADMISSION
-            return LongValueAnnounced(length)
-        self._state = _State.SHORT_VALUE
-        return self._read_short_value()
+            return ValueAnnounced(length)
+        else:
+            self._state = _State.SHORT_VALUE
+        return None
+
+    def _skip_next_value(self, after: InvalidCommand | ValueSkipped) -> None:
+        self._state = _State.SKIPPING_VALUE
+        self._after_value = after
+        self._bytes_to_skip = self._value_length
 
     def _read_short_value(self) -> Command | None:
         buffer = self._buffer
@@ -164,22 +203,25 @@
             return None
         if buffer[end : end + len(CRLF)] != CRLF:
             return self._fail("bad data chunk")
-        self._state = _State.COMMAND_LINE
         self._position = end + len(CRLF)
-        return self._parse_request(self._tokens, bytes(memoryview(buffer)[start:end]))
-
-    def _feed_long_value(self, data: bytes) -> list[Command]:
-        """Append bytes to the value, bypassing the buffer. Guards memory: a long value exists only once."""
-        missing = self._value_length + len(CRLF) - len(self._long_value)
-        if len(data) < missing:
-            self._long_value += data
-            return []
-        self._long_value += memoryview(data)[:missing]
+        return self._complete_request(bytes(memoryview(buffer)[start:end]))
+
+    def _complete_request(self, value: bytes | bytearray) -> Request:
+        """Return the command with its value, and continue with the next command line."""
+        request = self._after_value
+        assert isinstance(request, Request)
+        self._state = _State.COMMAND_LINE
+        self._after_value = ValueSkipped()
+        return replace(request, value=value)
+
+    def _feed_value(self, data: bytes) -> None:
+        """Append bytes to the value, bypassing the buffer. Guards memory: the value exists only once."""
+        missing = self._value_length + len(CRLF) - len(self._value)
+        self._value += memoryview(data)[:missing]
         self._buffer += memoryview(data)[missing:]
-        return self._parse_buffer()
 
-    def _read_long_value(self) -> Command | None:
-        value = self._long_value
+    def _read_reserved_value(self) -> Command | None:
+        value = self._value
         length = self._value_length
         start = self._position
         missing = length + len(CRLF) - len(value)
@@ -191,11 +233,10 @@
         if value[length:] != CRLF:
             return self._fail("bad data chunk")
         del value[length:]
-        self._state = _State.COMMAND_LINE
-        self._long_value = bytearray()
-        return self._parse_request(self._tokens, value)
+        self._value = bytearray()
+        return self._complete_request(value)
 
-    def _skip_value(self) -> LongValueSkipped | InvalidCommand | None:
+    def _skip_value(self) -> ValueSkipped | InvalidCommand | None:
         available = min(self._bytes_to_skip, len(self._buffer) - self._position)
         self._bytes_to_skip -= available
         self._position += available
@@ -207,7 +248,9 @@
             return self._fail("bad data chunk")
         self._position = end
         self._state = _State.COMMAND_LINE
-        return LongValueSkipped()
+        command = self._after_value
+        assert not isinstance(command, Request)
+        return command
 
     def _parse_request(
         self, tokens: list[bytes], value: bytes | bytearray | None
--- a/flintridge/codec/memcache/commands.py
+++ b/flintridge/codec/memcache/commands.py
@@ -24,8 +24,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LongValueAnnounced:
-    """A long value follows. The parser stops until `CommandParser.admit_long_value` is called.
+class ValueAnnounced:
+    """A value that needs reserved memory follows. Parsing stops until `CommandParser.admit_value` is called.
 
     Attributes:
         length: The length of the value, in bytes.
@@ -35,8 +35,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LongValueSkipped:
-    """A long value that was not admitted has been skipped; its command must be rejected."""
+class ValueSkipped:
+    """A value that was not admitted has been skipped; its command must be rejected."""
 
 
-Command = Request | NoOp | InvalidCommand | LongValueAnnounced | LongValueSkipped
+Command = Request | NoOp | InvalidCommand | ValueAnnounced | ValueSkipped
--- a/flintridge/codec/memcache/exchange.py
+++ b/flintridge/codec/memcache/exchange.py
@@ -3,7 +3,7 @@
 from flintridge.api import Outcome
 from flintridge.codec.errors import MalformedError
 from flintridge.codec.load_report import parse_load_report
-from flintridge.codec.long_value import LONG_VALUE_BYTES, MAX_VALUE_BYTES, LongValueReader
+from flintridge.codec.long_value import MAX_VALUE_BYTES, UNRESERVED_VALUE_BYTES, ValueReader
 from flintridge.codec.memcache.response_parser import ResponseParser
 from flintridge.codec.memcache.syntax import CRLF, is_receipt
 from flintridge.core.request import Request
@@ -35,8 +35,11 @@
     Attributes:
         reusable: See `Exchange.reusable`.
         names_request: See `Exchange.names_request`.
+        unreserved_body_bytes: See `Exchange.unreserved_body_bytes`; always 0, as the head has the length.
     """
 
+    unreserved_body_bytes = 0
+
     def __init__(self, request: Request, timeout_ms: float) -> None:
         """Prepare the command.
 
@@ -49,14 +52,14 @@
         self._parser = ResponseParser()
         self._value_head: AttemptResult | None = None  # set while the value after it is awaited
         self._value_length = 0
-        self._long_value: LongValueReader | None = None
+        self._reserved_value: ValueReader | None = None
         self.reusable = False
         self.names_request = True
 
     @property
-    def streamed_value(self) -> LongValueReader | None:
+    def streamed_value(self) -> ValueReader | None:
         """See `Exchange.streamed_value`."""
-        return self._long_value
+        return self._reserved_value
 
     def encode_request(self) -> list[bytes | bytearray]:
         """See `Exchange.encode_request`."""
@@ -70,13 +73,13 @@
     def feed(self, data: bytes) -> AttemptResult | None:
         """See `Exchange.feed`."""
         try:
-            if self._long_value is None:
+            if self._reserved_value is None:
                 self._parser.feed(data)
                 result = self._parse()
-                if result is not None or self._long_value is None:
+                if result is not None or self._reserved_value is None:
                     return result
                 data = self._parser.take_rest()
-            return self._feed_long_value(self._long_value, data)
+            return self._feed_reserved_value(self._reserved_value, data)
         except MalformedError:
             return AttemptResult(Outcome.ERROR, malformed=True)
 
@@ -84,7 +87,7 @@
         """See `Exchange.end`. No memcache response is delimited by the end of the connection."""
         return None
 
-    def _feed_long_value(self, value: LongValueReader, data: bytes) -> AttemptResult | None:
+    def _feed_reserved_value(self, value: ValueReader, data: bytes) -> AttemptResult | None:
         rest = value.feed(data, CRLF)
         if rest is None:
             return None
@@ -102,8 +105,8 @@
                 return result
         head = self._value_head
         assert head is not None
-        if self._value_length > LONG_VALUE_BYTES:
-            self._long_value = LongValueReader(self._value_length, head)
+        if self._value_length > UNRESERVED_VALUE_BYTES:
+            self._reserved_value = ValueReader(self._value_length, head)
             return None
         body = self._parser.take_block(self._value_length)
         if body is None:
@@ -157,9 +160,12 @@
     Attributes:
         reusable: See `Exchange.reusable`.
         names_request: See `Exchange.names_request`; always False.
-        streamed_value: See `Exchange.streamed_value`; always None, since a load report is not a long value.
+        streamed_value: See `Exchange.streamed_value`; always None, since a load report is not a value.
+        unreserved_body_bytes: See `Exchange.unreserved_body_bytes`; always 0.
     """
 
+    unreserved_body_bytes = 0
+
     def __init__(self) -> None:
         self._parser = ResponseParser()
         self._load: dict[str, float] = {}
--- a/flintridge/config/node_config.py
+++ b/flintridge/config/node_config.py
@@ -22,7 +22,12 @@
 # taking sockets from active ones.
 CLIENT_SOCKETS_FRACTION = 0.6
 MAX_VALUE_MB = 4.0
+MIN_CONNECTION_MEMORY_MB = 0.5  # for connections and requests beside a value of the maximum size
 BASE_MEMORY_MB = 24.0  # memory that a node uses with no request in flight
+# What a process uses at most before it has clients, and the fraction of the rest that stays free for what is
+# not counted: the allocator's overhead, the log, the garbage of the last requests.
+IDLE_MEMORY_MB = 26.0
+CLIENT_MEMORY_FRACTION = 3 / 4
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -153,17 +158,27 @@
         """The number of connections to servers that the node opens."""
         return self.sockets - self._reserved_sockets - self.client_sockets
 
-    @property
-    def memory_budget_bytes(self) -> int:
-        """Memory for the values of writes: a third of what exceeds BASE_MEMORY_MB, at least MAX_VALUE_MB.
+    def process_memory_bytes(self, process_count: int = 1) -> int:
+        """Memory for everything that one of the node's processes holds for its clients.
+
+        Enough for one value of the maximum size, and never more than the node's memory beyond what its
+        processes use before they have clients.
 
-        Another third is for data that is being sent to clients: short responses and chunks of long ones.
+        Args:
+            process_count: The number of processes that share the node's memory.
         """
+        free_mb = self.memory_mb / process_count - IDLE_MEMORY_MB
+        client_mb = max(MAX_VALUE_MB + MIN_CONNECTION_MEMORY_MB, free_mb * CLIENT_MEMORY_FRACTION)
+        return int(client_mb * BYTES_PER_MB)
+
+    @property
+    def memory_budget_bytes(self) -> int:
+        """Memory for the values of writes: a third of what exceeds BASE_MEMORY_MB, at least MAX_VALUE_MB."""
         return self._memory_share_bytes(1 / 3)
 
     @property
     def response_budget_bytes(self) -> int:
-        """Memory for long values that are collected before they are sent to clients.
+        """Memory for the values that servers send, until they are passed to clients.
 
         It is a sixth of what exceeds BASE_MEMORY_MB, and at least MAX_VALUE_MB.
         """
--- a/flintridge/core/exchange.py
+++ b/flintridge/core/exchange.py
@@ -18,7 +18,11 @@
 
     @property
     def streamed_value(self) -> StreamedValue | None:
-        """The long value whose first bytes have arrived, if any; the result follows once it is complete."""
+        """The value that has begun to arrive, if it needs reserved memory; the result follows at its end."""
+
+    @property
+    def unreserved_body_bytes(self) -> int:
+        """How long the body of the response may get if memory must be reserved for it; otherwise 0."""
 
     def encode_request(self) -> list[bytes | bytearray]:
         """Encode the request, in pieces."""
--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -10,7 +10,7 @@
 from flintridge.core.attempts import attempt_ended_event, new_attempt, unsent_outcome
 from flintridge.core.deadlines import ResponseDeadlines
 from flintridge.core.drivers import DiscoveryDriver, Policy, UpstreamDriver
-from flintridge.core.memory_budget import MemoryBudget, bytes_to_reserve
+from flintridge.core.memory_budget import MemoryBudget, bytes_to_reserve, unlimited_memory
 from flintridge.core.open_requests import IdInUseError, OpenRequest, OpenRequests
 from flintridge.core.policy_driver import PolicyDriver
 from flintridge.core.request import Request, UpstreamAttempt
@@ -19,12 +19,17 @@
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
+# What an open request uses beside the value that it writes: the request itself, its attempts and their tasks.
+OPEN_REQUEST_BYTES = 8 * 1024
+
 
 class RequestLifecycle:
     """Processes the requests of a node.
 
     Attributes:
-        memory_budget: Memory for the values of writes.
+        process_memory: Memory for everything that the process holds for its clients.
+        memory_budget: Memory for the values of writes; a part of `process_memory`.
+        request_memory: Memory for open requests; a part of `process_memory`.
         open_requests: Requests without a final response or with attempts in flight.
         policy_driver: Passes events to the policy.
         settings: The service's settings.
@@ -40,6 +45,7 @@
         memory_bytes: int,
         log: EventLog,
         counters: Counters,
+        process_memory: MemoryBudget | None = None,
     ) -> None:
         """Start without requests; `attach` sets the drivers.
 
@@ -50,9 +56,12 @@
             memory_bytes: Size of the memory budget for the values of writes.
             log: The node's log.
             counters: The node's counters.
+            process_memory: Memory for everything that the process holds for its clients; None: no limit.
         """
-        self.memory_budget = MemoryBudget(memory_bytes, clock)
-        self.open_requests = OpenRequests(self.memory_budget)
+        self.process_memory = process_memory or unlimited_memory(clock)
+        self.memory_budget = MemoryBudget(memory_bytes, clock, self.process_memory)
+        self.request_memory = MemoryBudget(self.process_memory.total // 2, clock, self.process_memory)
+        self.open_requests = OpenRequests(self.memory_budget, self.request_memory, OPEN_REQUEST_BYTES)
         self.policy_driver = PolicyDriver(policy, self._carry_out, clock, log, counters)
         self.settings = settings
         self.on_attempts_changed: Callable[[UpstreamAttempt, int], None] | None = None
@@ -79,6 +88,11 @@
         """Number of requests without a final response."""
         return self.open_requests.unanswered
 
+    @property
+    def has_request_memory(self) -> bool:
+        """Whether memory is free for another open request."""
+        return self.request_memory.fits(OPEN_REQUEST_BYTES)
+
     # Requests
 
     def submit(
@@ -108,7 +122,7 @@
         if request_id in self.open_requests:
             raise IdInUseError(request_id)
         self._counters.add("requests")
-        full = len(self.open_requests) >= self.settings.limits.max_open
+        full = len(self.open_requests) >= self.settings.limits.max_open or not self.has_request_memory
         if not reserved_bytes and not full:
             reserved_bytes = bytes_to_reserve(len(request.value or b""))
             if not self.memory_budget.try_reserve(reserved_bytes):
--- a/flintridge/core/memory_budget.py
+++ b/flintridge/core/memory_budget.py
@@ -1,6 +1,11 @@
-"""A memory budget: bytes are reserved before use, released once, and granted first come, first served."""
+"""Memory budgets: bytes are reserved before use, released once, and granted first come, first served.
+
+Budgets form a tree: what is reserved of a budget is also reserved of its parent. The root is the memory that
+a process may use for its clients; the others limit what each use may take of it.
+"""
 
 import asyncio
+import sys
 from collections import deque
 from collections.abc import Callable
 
@@ -17,13 +22,29 @@
 
 
 class MemoryBudget:
-    """A limited number of bytes that reservations share. Times are float milliseconds of `clock`."""
+    """A limited number of bytes that reservations share. Times are float milliseconds of `clock`.
+
+    Attributes:
+        total: The number of bytes.
+        reserved: How many of them are reserved; more than `total` after `charge` or `resize`.
+    """
+
+    def __init__(self, total: int, clock: Clock, parent: "MemoryBudget | None" = None) -> None:
+        """Create a budget without reservations.
 
-    def __init__(self, total: int, clock: Clock) -> None:
+        Args:
+            total: The number of bytes.
+            clock: Times the waits for bytes.
+            parent: A budget that this one takes its bytes from; None if there is none.
+        """
         self.total = total
         self.reserved = 0
         self._clock = clock
+        self._parent = parent
+        self._children: list[MemoryBudget] = []
         self._waiting: deque[_Reservation] = deque()
+        if parent is not None:
+            parent._children.append(self)
 
     def try_reserve(self, count: int, keep_free: int = 0) -> bool:
         """Reserve bytes immediately; False if too few are free or other reservations are waiting.
@@ -32,23 +53,47 @@
             count: The number of bytes.
             keep_free: The number of bytes that must remain free.
         """
-        if count and (self._waiting or self.reserved + count + keep_free > self.total):
+        if count and (self._waiting or not self.fits(count, keep_free)):
             return False
-        self.reserved += count
+        self.charge(count)
         return True
 
+    def charge(self, count: int) -> None:
+        """Reserve bytes that are in use already, whether or not they are free."""
+        self.reserved += count
+        if self._parent is not None:
+            self._parent.charge(count)
+
     def release(self, count: int) -> None:
         """Release reserved bytes and grant waiting reservations that now fit."""
         if not count:
             return
-        self.reserved -= count
-        assert self.reserved >= 0, "more bytes were released than reserved"
-        self._grant_waiting()
+        self._return(count)
+        self._root.grant_waiting()
 
     def resize(self, total: int) -> None:
         """Change the total; existing reservations stay."""
         self.total = total
-        self._grant_waiting()
+        self.grant_waiting()
+
+    def fits(self, count: int, keep_free: int = 0) -> bool:
+        """Whether this many bytes are free, and `keep_free` bytes beside them."""
+        if self.reserved + count + keep_free > self.total:
+            return False
+        return self._parent is None or self._parent.fits(count)
+
+    def _can_ever_fit(self, count: int) -> bool:
+        return count <= self.total and (self._parent is None or self._parent._can_ever_fit(count))
+
+    def _return(self, count: int) -> None:
+        self.reserved -= count
+        assert self.reserved >= 0, "more bytes were released than reserved"
+        if self._parent is not None:
+            self._parent._return(count)
+
+    @property
+    def _root(self) -> "MemoryBudget":
+        return self if self._parent is None else self._parent._root
 
     def wait(self, count: int, time_limit: float, decided: Callable[[bool], None]) -> Callable[[], None]:
         """Reserve `count` bytes as soon as they are free, waiting at most `time_limit` milliseconds.
@@ -65,7 +110,7 @@
             A function that cancels the wait.
         """
         reservation = _Reservation(count, decided)
-        if count > self.total:
+        if not self._can_ever_fit(count):
             reservation.decide(False)
             return lambda: None
         if self.try_reserve(count):
@@ -93,11 +138,14 @@
             cancel()
             raise
 
-    def _grant_waiting(self) -> None:
-        while self._waiting and self.reserved + self._waiting[0].count <= self.total:
+    def grant_waiting(self) -> None:
+        """Grant the waiting reservations of this budget and of its children that fit now."""
+        while self._waiting and self.fits(self._waiting[0].count):
             reservation = self._waiting.popleft()
-            self.reserved += reservation.count
+            self.charge(reservation.count)
             reservation.decide(True)
+        for child in self._children:
+            child.grant_waiting()
 
     def _cancel(self, reservation: "_Reservation") -> None:
         if reservation.granted is None:
@@ -106,7 +154,12 @@
     def _abandon(self, reservation: "_Reservation") -> None:
         self._waiting.remove(reservation)
         reservation.decide(False)
-        self._grant_waiting()
+        self.grant_waiting()
+
+
+def unlimited_memory(clock: Clock) -> MemoryBudget:
+    """Return a budget that is never used up, for a process without a memory limit."""
+    return MemoryBudget(sys.maxsize, clock)
 
 
 class _Reservation:
--- a/flintridge/core/open_requests.py
+++ b/flintridge/core/open_requests.py
@@ -88,13 +88,19 @@
 class OpenRequests:
     """All open requests, in the order in which they were accepted."""
 
-    def __init__(self, memory_budget: MemoryBudget) -> None:
+    def __init__(
+        self, memory_budget: MemoryBudget, request_memory: MemoryBudget | None = None, request_bytes: int = 0
+    ) -> None:
         """Start without requests.
 
         Args:
             memory_budget: The bytes reserved for a request are released to it when the request ends.
+            request_memory: Each request takes `request_bytes` of it until it ends; None: no limit.
+            request_bytes: The memory of one request in bytes, without its value.
         """
         self._memory_budget = memory_budget
+        self._request_memory = request_memory
+        self._request_bytes = request_bytes
         self._by_id: dict[str, OpenRequest] = {}
 
     def __len__(self) -> int:
@@ -114,6 +120,8 @@
     def add(self, request: OpenRequest) -> None:
         """Add a request, whose id must not be in use."""
         self._by_id[request.id] = request
+        if self._request_memory is not None:
+            self._request_memory.charge(self._request_bytes)
 
     def get(self, request_id: str) -> OpenRequest | None:
         """Return the open request with this id, or None."""
@@ -143,11 +151,16 @@
         request = self._by_id.get(request_id)
         if request is not None and request.state is RequestState.FINISHED:
             del self._by_id[request_id]
-            self._memory_budget.release(request.reserved_bytes)
+            self._release_memory(request)
 
     def close(self) -> None:
         """Remove all requests without a response."""
         for request in self:
             request.cancel_timer()
-            self._memory_budget.release(request.reserved_bytes)
+            self._release_memory(request)
         self._by_id.clear()
+
+    def _release_memory(self, request: OpenRequest) -> None:
+        self._memory_budget.release(request.reserved_bytes)
+        if self._request_memory is not None:
+            self._request_memory.release(self._request_bytes)
--- a/flintridge/downstream/command_executor.py
+++ b/flintridge/downstream/command_executor.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from flintridge.codec.memcache.commands import InvalidCommand, LongValueSkipped, NoOp
+from flintridge.codec.memcache.commands import InvalidCommand, NoOp, ValueSkipped
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.core.open_requests import IdInUseError
@@ -13,7 +13,7 @@
 
 MAX_BAD_COMMANDS = 4  # per connection; it is closed after the response to the last of them
 
-ExecutableCommand = Request | NoOp | InvalidCommand | LongValueSkipped
+ExecutableCommand = Request | NoOp | InvalidCommand | ValueSkipped
 
 
 class ExecutorOwner(Protocol):
@@ -70,7 +70,7 @@
         Returns:
             Whether the connection stays open for further commands.
         """
-        # A connection reserves memory for one long value at a time; a reservation belongs to this command.
+        # A connection reserves memory for one value at a time; a reservation belongs to this command.
         reserved_bytes = self._input.value_memory.take()
         if isinstance(command, Request):
             return self._submit(command, connection, reserved_bytes)
@@ -80,7 +80,7 @@
         if isinstance(command, NoOp):
             pending.complete([self._owner.no_op_response])
             return True
-        if isinstance(command, LongValueSkipped):
+        if isinstance(command, ValueSkipped):
             self._owner.counters.add("values_rejected_for_memory")
             pending.complete(encode_rejection(0.0))
             return True
--- a/flintridge/downstream/command_input.py
+++ b/flintridge/downstream/command_input.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from flintridge.api import Settings
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.commands import Command
 from flintridge.core.memory_budget import MemoryBudget, bytes_to_reserve
@@ -10,9 +9,9 @@
 from flintridge.downstream.input_arrival import InputArrival
 from flintridge.downstream.value_memory import ValueMemory
 from flintridge.runtime.clock import Clock
-from flintridge.runtime.streams import TrackingReader
+from flintridge.runtime.streams import READ_MAX_BYTES, UNRESERVED_READ_BYTES, TrackingReader
 
-READ_BYTES = 64 * 1024
+VALUE_READ_BYTES = 8 * 1024  # read at a time of a value for which memory is reserved
 
 
 class CommandInput:
@@ -20,17 +19,26 @@
 
     Attributes:
         arrival: Tracks when the bytes of the last read may have arrived.
-        value_memory: The memory that is reserved for the long value being read; the reservation is then
-            handed over together with the value's command.
+        value_memory: The memory that is reserved for the value being read; the reservation is then handed
+            over together with the value's command.
     """
 
-    __slots__ = ("_parser", "_reader", "_timer", "_transport", "arrival", "value_memory")
+    __slots__ = (
+        "_min_read_limit",
+        "_parser",
+        "_read_limit",
+        "_reader",
+        "_timer",
+        "_transport",
+        "arrival",
+        "value_memory",
+    )
 
     def __init__(
         self,
         reader: TrackingReader,
         transport: asyncio.Transport,
-        settings: Settings,
+        parser: CommandParser,
         clock: Clock,
         memory_budget: MemoryBudget,
     ) -> None:
@@ -39,14 +47,17 @@
         Args:
             reader: Reads the connection's input.
             transport: The connection's transport.
-            settings: The node's settings.
+            parser: Parses the connection's commands.
             clock: The node's clock.
-            memory_budget: The budget for the memory of long values.
+            memory_budget: The budget for the memory of values.
         """
         self.value_memory = ValueMemory(memory_budget, clock)
         self._reader = reader
         self._transport = transport
-        self._parser = CommandParser(settings)
+        self._parser = parser
+        self._min_read_limit = UNRESERVED_READ_BYTES
+        self._read_limit = 0  # bytes that the transport reads at a time
+        self._limit_reads()
         self._timer = CommandTimer(clock.now())
         self.arrival = InputArrival(clock, reader.queued_since)
 
@@ -55,6 +66,11 @@
         """Whether a command has been received in part."""
         return not self._parser.idle
 
+    def allow_read_ahead(self) -> None:
+        """Read as much at a time as READ_MAX_BYTES, since memory is reserved for that."""
+        self._min_read_limit = READ_MAX_BYTES
+        self._limit_reads()
+
     async def read(self) -> bytes:
         """Read the next bytes; the result is empty if the client has shut down its write side.
 
@@ -62,25 +78,34 @@
             OSError: The connection failed.
         """
         self.arrival.before_read(self._reader.has_unread, self._transport.is_reading())
-        data = await self._reader.read(READ_BYTES)
+        data = await self._reader.read(READ_MAX_BYTES)
         self.arrival.after_read()
         return data
 
-    def parse(self, data: bytes, now: float) -> list[Command]:
-        """Parse bytes and return the commands that they complete, in order.
+    def feed(self, data: bytes, now: float) -> None:
+        """Append bytes that were read; `next_command` parses them.
 
         Args:
             data: The bytes that were read.
             now: The node's clock, in milliseconds.
         """
         self._timer.record_read(now, self._parser.idle)
-        commands = self._parser.feed(data)
-        if commands:
+        self._parser.feed(data)
+
+    def next_command(self, now: float) -> Command | None:
+        """Parse the next command; None if the bytes that were read contain no other complete one.
+
+        Args:
+            now: The node's clock, in milliseconds.
+        """
+        command = self._parser.next_command()
+        if command is not None:
             self._timer.record_complete_command(now)
-        return commands
+        self._limit_reads()
+        return command
 
     async def reserve_memory(self, length: int) -> bool:
-        """Reserve memory for a long value before it is read, waiting until enough is free.
+        """Reserve memory for a value before it is read, waiting until enough is free.
 
         Nothing is read meanwhile, so backpressure holds the bytes on the client's side.
 
@@ -94,9 +119,10 @@
         self._timer.record_memory_wait(self.value_memory.wait_ms)
         return granted
 
-    def admit_long_value(self, admitted: bool) -> list[Command]:
-        """Read or skip the long value that was announced; returns the commands that are now complete."""
-        return self._parser.admit_long_value(admitted)
+    def admit_value(self, admitted: bool) -> None:
+        """Read or skip the value that was announced."""
+        self._parser.admit_value(admitted)
+        self._limit_reads()
 
     def timed_out(self, now: float) -> bool:
         """Whether the partial command has timed out at the time `now`."""
@@ -112,3 +138,11 @@
         """
         self._parser = empty_parser
         self.value_memory.release()
+
+    def _limit_reads(self) -> None:
+        """Read little at a time, unless memory is reserved for what is read."""
+        value_limit = VALUE_READ_BYTES if self._parser.in_reserved_value else 0
+        limit = max(value_limit, self._min_read_limit)
+        if limit != self._read_limit:
+            self._read_limit = limit
+            self._reader.set_read_limit(self._transport, limit)
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -1,10 +1,10 @@
 """A client connection: reads commands, writes responses in order, enforces timeouts, and closes."""
 
 import asyncio
-from collections import deque
 from collections.abc import Sequence
 
-from flintridge.codec.memcache.commands import Command, LongValueAnnounced
+from flintridge.codec.memcache.command_parser import CommandParser
+from flintridge.codec.memcache.commands import ValueAnnounced
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
 from flintridge.downstream.command_executor import CommandExecutor
 from flintridge.downstream.command_input import CommandInput
@@ -13,14 +13,12 @@
 from flintridge.downstream.orderly_close import OrderlyClose
 from flintridge.downstream.pipeline import PendingResponse, ResponsePipeline
 from flintridge.downstream.reading_control import ReadingControl
+from flintridge.downstream.unread_responses import UnreadResponses
 from flintridge.runtime.clock import DeadlineExceededError
-from flintridge.runtime.streams import TrackingReader, limit_read_size, peer_has_closed
+from flintridge.runtime.streams import TrackingReader, peer_has_closed
 
-# While the client has more response bytes than this to read, no further command of it is processed.
-MAX_UNREAD_RESPONSE_BYTES = 128 * 1024
-# High-water mark of the write buffer: while more bytes of a long value than this are unread by the client,
-# no more of the value is read from the server.
-WRITE_AHEAD_BYTES = 32 * 1024
+# How many commands of a connection are processed before other connections get a turn.
+COMMANDS_PER_TURN = 16
 IDLE_TIMEOUT_MS = 2_000.0  # a connection with nothing pending is closed after this
 
 
@@ -60,18 +58,21 @@
         self.has_requested = False
         self.has_sent_command = False
         self._pipeline = ResponsePipeline()
-        self._input = CommandInput(
-            reader, self._transport, owner.settings, owner.clock, owner.core.memory_budget
-        )
+        parser = CommandParser(owner.settings, owner.request_parser)
+        self._input = CommandInput(reader, self._transport, parser, owner.clock, owner.core.memory_budget)
         self._executor = CommandExecutor(owner, self._input, self._pipeline)
-        self._orderly_close = OrderlyClose(writer, owner.clock, owner.counters)
+        assert reader.flow is not None
+        self._orderly_close = OrderlyClose(writer, reader.flow, owner.clock, owner.counters)
+        self._unread_responses = UnreadResponses(owner.core.process_memory)
         self._close_when_responded = False  # reads no more commands, closes after the pending responses
         self._closed = False  # the client has disconnected, or the connection was closed
+        self._corked = False  # responses are collected until all commands of a turn are processed
         self._processing = False  # commands are being processed, and more that were read may follow them
-        self._reading = ReadingControl(self._transport)
-        self._transport.set_write_buffer_limits(high=WRITE_AHEAD_BYTES)
-        limit_read_size(self._transport)
+        self._reading = ReadingControl(reader.flow)
+        # While the write buffer is not empty, no command is processed and no value is read from a server.
+        self._transport.set_write_buffer_limits(high=0)
         reader.on_end = self._on_closed
+        reader.on_written = self._count_unread_responses
 
     # State
 
@@ -93,7 +94,12 @@
     @property
     def blocked(self) -> bool:
         """Whether reading is paused while commands or responses are pending."""
-        return self.has_pending and self._reading.paused
+        return self.has_pending and not self._transport.is_reading()
+
+    @property
+    def has_unread_responses(self) -> bool:
+        """Whether responses that were written are still in this process."""
+        return self._transport.get_write_buffer_size() > 0
 
     @property
     def closing(self) -> bool:
@@ -109,6 +115,10 @@
         if not self._input.has_partial_command and not self._reader.has_unread:
             self._reading.pause()
 
+    def allow_read_ahead(self) -> None:
+        """Read ahead while commands wait, since memory is reserved for that."""
+        self._input.allow_read_ahead()
+
     def resume_reading(self) -> None:
         """Read again: the drain that had stopped the reading was cancelled."""
         if not self._orderly_close.started:
@@ -182,6 +192,7 @@
             error.with_traceback(None)
         finally:
             self._on_closed()
+            self._unread_responses.update(0)
 
     async def _read_until_end(self) -> None:
         while not self._closed:
@@ -198,11 +209,9 @@
 
     async def _process_input(self, data: bytes) -> None:
         self._record_activity()
-        commands = self._input.parse(data, self.last_used_at)
-        if commands:
-            self.has_sent_command = True
+        self._input.feed(data, self.last_used_at)
         self._processing = True
-        keep_open = await self._process_commands(deque(commands))
+        keep_open = await self._process_commands()
         self._processing = False
         if not keep_open:  # the commands that follow are not processed, so the connection may be evicted
             await self._finish()
@@ -210,27 +219,64 @@
             self.stop_reading()
         self._owner.close_if_draining(self)
 
-    async def _process_commands(self, commands: deque[Command]) -> bool:
+    async def _process_commands(self) -> bool:
         """Process commands in order; returns False if the connection has to close after the responses."""
+        processed = 0
         # Commands that can't be responded to are not processed: after a disconnect or the start of a close.
-        while commands and not self._closed and not self._orderly_close.started:
-            command = commands.popleft()
-            if isinstance(command, LongValueAnnounced):
-                granted = await self._input.reserve_memory(command.length)
-                if self._closed or self._orderly_close.started:
-                    self._input.value_memory.release()
-                    break
-                self._record_activity()
-                commands.extend(self._input.admit_long_value(granted))
-            elif not self._executor.execute(command, self):
-                return False
-            # Checked after each command, not after each read: a single read can contain hundreds of commands,
-            # and all their responses would be retained for a client that reads none of them.
-            await self._pipeline.wait_until_not_full()
-            if self._transport.get_write_buffer_size() > MAX_UNREAD_RESPONSE_BYTES:
-                await self.wait_until_read()
+        while not self._closed and not self._orderly_close.started:
+            command = self._input.next_command(self.last_used_at)
+            if command is None:
+                break
+            self.has_sent_command = True
+            if isinstance(command, ValueAnnounced):
+                self._uncork()
+                await self._admit_value(command.length)
+            else:
+                self._corked = True
+                if not self._executor.execute(command, self):
+                    self._uncork()
+                    return False
+            processed += 1
+            if processed % COMMANDS_PER_TURN == 0:
+                self._uncork()
+                await asyncio.sleep(0)
+            if not self._may_process_commands():
+                self._uncork()
+                await self._wait_until_commands_may_be_processed()
+        self._uncork()
         return True
 
+    async def _admit_value(self, length: int) -> None:
+        """Have the announced value read once memory is reserved for it, or skipped if there is none."""
+        granted = await self._input.reserve_memory(length)
+        if self._closed or self._orderly_close.started:
+            self._input.value_memory.release()
+            return
+        self._record_activity()
+        self._input.admit_value(granted)
+
+    def _may_process_commands(self) -> bool:
+        """Whether the connection has neither too many pending nor unread responses, and memory is not short.
+
+        Checked after each command, not after each read: a single read can contain many commands, and all
+        their responses would be retained for a client that reads none of them.
+        """
+        if self.has_unread_responses:
+            return False
+        return not self._pipeline or not (self._pipeline.full or not self._owner.core.has_request_memory)
+
+    async def _wait_until_commands_may_be_processed(self) -> None:
+        while self._pipeline and (self._pipeline.full or not self._owner.core.has_request_memory):
+            await self._pipeline.wait_for_change()
+        if self.has_unread_responses:
+            await self.wait_until_read()
+
+    def _uncork(self) -> None:
+        """Write the responses that were completed while commands were processed, in a single write."""
+        if self._corked:
+            self._corked = False
+            self.flush()
+
     async def _finish(self) -> None:
         """Close after the pending responses, because framing is lost or too many commands were bad."""
         self._close_when_responded = True
@@ -260,10 +306,14 @@
 
     def flush(self) -> None:
         """Write the responses that are complete, up to the first that is not."""
+        if self._corked:
+            return
         buffers = self._pipeline.take_completed()
         if buffers and not self.closing:
             self.write(buffers)
             self._owner.close_if_draining(self)
+        else:
+            self._count_unread_responses()
         if self._reading.held and not self._pipeline:
             self._reading.release(may_read=not self.closing and not self._owner.reading_stopped)
         self._pipeline.start_next_stream()
@@ -273,6 +323,12 @@
         if not self.closing:
             self._writer.writelines(buffers)
             self._record_activity()
+            self._count_unread_responses()
+
+    def _count_unread_responses(self) -> None:
+        if not self._closed:
+            held_bytes = self._pipeline.complete_bytes + self._transport.get_write_buffer_size()
+            self._unread_responses.update(held_bytes)
 
     async def wait_until_read(self) -> None:
         """Wait until the client has read most of what was written.
@@ -315,6 +371,7 @@
         # Guards memory: reader and connection would reference each other until the garbage collector runs,
         # which is seldom in a process that runs for long.
         self._reader.on_end = None
+        self._reader.on_written = None
         self._orderly_close.cancel_timer()
         self._abandon_pending()
         self._pipeline.notify_waiting()
--- a/flintridge/downstream/connection_owner.py
+++ b/flintridge/downstream/connection_owner.py
@@ -5,6 +5,7 @@
 
 from flintridge.api import Settings
 from flintridge.codec.memcache.command_parser import CommandParser
+from flintridge.codec.memcache.request_parser import RequestParser
 from flintridge.downstream.command_executor import ExecutorOwner
 from flintridge.downstream.eviction import ConnectionT, EvictionOrder
 from flintridge.runtime.clock import Clock
@@ -18,12 +19,14 @@
         clock: The node's clock, in float milliseconds.
         eviction_order: The order in which connections are evicted.
         empty_parser: A shared parser for connections that read no more commands.
+        request_parser: The parser of requests, which all connections share.
     """
 
     settings: Settings
     clock: Clock
     eviction_order: EvictionOrder[ConnectionT]
     empty_parser: CommandParser
+    request_parser: RequestParser
 
     @property
     def reading_stopped(self) -> bool:
--- a/flintridge/downstream/eviction.py
+++ b/flintridge/downstream/eviction.py
@@ -27,6 +27,10 @@
     def idle(self) -> bool:
         """Whether the connection is between requests."""
 
+    @property
+    def has_unread_responses(self) -> bool:
+        """Whether responses that were written are still in this process."""
+
 
 ConnectionT = TypeVar("ConnectionT", bound=EvictableConnection)
 
@@ -72,9 +76,13 @@
         for connection in self._closing:
             return connection
         for connection in self._requested:
-            if not connection.has_pending and connection.idle:
+            if connection.idle and _is_evictable(connection):
                 return connection
         for connection in self._never_requested:
-            if not connection.has_pending:
+            if _is_evictable(connection):
                 return connection
         return None
+
+
+def _is_evictable(connection: EvictableConnection) -> bool:
+    return not connection.has_pending and not connection.has_unread_responses
--- a/flintridge/downstream/listener.py
+++ b/flintridge/downstream/listener.py
@@ -6,6 +6,7 @@
 from flintridge.api import Settings
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.encoder import DRAINING_RESPONSE, NO_OP_RESPONSE, STARTING_RESPONSE
+from flintridge.codec.memcache.request_parser import RequestParser
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.discovery.endpoint_list import EndpointList
 from flintridge.downstream.connection import ClientConnection
@@ -33,6 +34,7 @@
         connections: The open client connections.
         eviction_order: The order in which connections are evicted.
         empty_parser: A shared parser for connections that read no more commands.
+        request_parser: The parser of requests, which all connections share.
         is_ready: A further condition of readiness; until it returns True, `mn` gets an error.
     """
 
@@ -64,9 +66,10 @@
         self.settings = settings
         self._shutdown_times = ShutdownTimes.of(settings)
         self.shutdown = shutdown or GracefulShutdown(self._shutdown_times)
-        self.connections = OpenConnections(connection_limit, clock, counters)
+        self.connections = OpenConnections(connection_limit, core.process_memory, clock, counters)
         self.eviction_order = self.connections.eviction_order
-        self.empty_parser = CommandParser(settings)
+        self.request_parser = RequestParser(settings)
+        self.empty_parser = CommandParser(settings, self.request_parser)
         self.is_ready: Callable[[], bool] = lambda: True
         self._endpoints = endpoints
         self._tasks: dict[asyncio.Task[None], None] = {}
--- a/flintridge/downstream/orderly_close.py
+++ b/flintridge/downstream/orderly_close.py
@@ -11,6 +11,7 @@
     wait_until_read,
 )
 from flintridge.runtime.clock import Clock, DeadlineExceededError, Timer
+from flintridge.runtime.streams import ReadFlow
 from flintridge.telemetry.counters import Counters
 
 
@@ -28,19 +29,32 @@
         started: Whether the close has begun: no more output is written, and no more input is processed.
     """
 
-    __slots__ = ("_clock", "_counters", "_discardable_bytes", "_timer", "_transport", "_writer", "started")
-
-    def __init__(self, writer: asyncio.StreamWriter, clock: Clock, counters: Counters) -> None:
+    __slots__ = (
+        "_clock",
+        "_counters",
+        "_discardable_bytes",
+        "_flow",
+        "_timer",
+        "_transport",
+        "_writer",
+        "started",
+    )
+
+    def __init__(
+        self, writer: asyncio.StreamWriter, flow: ReadFlow, clock: Clock, counters: Counters
+    ) -> None:
         """Prepare the close; `shut_down` starts it.
 
         Args:
             writer: Writes the connection's output.
+            flow: Pauses the connection's input.
             clock: The node's clock.
             counters: The node's counters.
         """
         assert isinstance(writer.transport, asyncio.Transport)
         self.started = False
         self._writer = writer
+        self._flow = flow
         self._transport = writer.transport
         self._clock = clock
         self._counters = counters
@@ -54,7 +68,7 @@
             run_in_background: Runs the task that waits for the flush.
         """
         if self._transport.get_write_buffer_size():
-            self._transport.pause_reading()  # a request read before the shutdown would need a response
+            self._flow.hold()  # a request read before the shutdown would need a response
             run_in_background(self._shut_down_when_written())
         else:
             self._shut_down_sending()
@@ -101,4 +115,4 @@
             self.abort()
             return
         self._timer = self._clock.call_at(self._clock.now() + LINGERING_CLOSE_MS, self.abort)
-        self._transport.resume_reading()  # reading may be paused, for example by a drain or by `shut_down`
+        self._flow.release()  # reading may be paused, for example by a drain or by `shut_down`
--- a/flintridge/downstream/pipeline.py
+++ b/flintridge/downstream/pipeline.py
@@ -139,6 +139,11 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    @property
+    def complete_bytes(self) -> int:
+        """The length of the responses that are complete and wait for earlier ones."""
+        return sum(len(buffer) for pending in self._pending for buffer in pending.buffers or ())
+
     def append(self, pending: PendingResponse) -> None:
         """Add the pending response to the next command."""
         self._pending.append(pending)
@@ -147,17 +152,18 @@
         """Return the pending response to the most recent command."""
         return self._pending[-1]
 
-    async def wait_until_not_full(self) -> None:
-        """Wait until another command may be processed."""
-        while len(self._pending) >= MAX_PIPELINED_COMMANDS:
-            await self._wait_for_change()
+    @property
+    def full(self) -> bool:
+        """Whether no further command may be processed."""
+        return len(self._pending) >= MAX_PIPELINED_COMMANDS
 
     async def wait_until_empty(self) -> None:
         """Wait until every response is written or abandoned."""
         while self._pending:
-            await self._wait_for_change()
+            await self.wait_for_change()
 
-    async def _wait_for_change(self) -> None:
+    async def wait_for_change(self) -> None:
+        """Wait until a response was removed."""
         self._changed.clear()
         await self._changed.wait()
 
--- a/flintridge/downstream/reading_control.py
+++ b/flintridge/downstream/reading_control.py
@@ -1,6 +1,6 @@
 """Control over whether a client connection is read, which a drain and a long value can both stop."""
 
-import asyncio
+from flintridge.runtime.streams import ReadFlow
 
 
 class ReadingControl:
@@ -10,26 +10,21 @@
         held: Whether nothing is read until all pending responses are complete.
     """
 
-    __slots__ = ("_transport", "held")
+    __slots__ = ("_flow", "held")
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(self, flow: ReadFlow) -> None:
         """Start with a connection that is read."""
-        self._transport = transport
+        self._flow = flow
         self.held = False
 
-    @property
-    def paused(self) -> bool:
-        """Whether the connection is not read."""
-        return not self._transport.is_reading()
-
     def pause(self) -> None:
         """Stop reading until `resume`."""
-        self._transport.pause_reading()
+        self._flow.hold()
 
     def resume(self) -> None:
         """Read again, unless reading is held."""
         if not self.held:
-            self._transport.resume_reading()
+            self._flow.release()
 
     def hold(self) -> None:
         """Stop reading until `release`, whatever calls `resume` meanwhile."""
--- a/flintridge/downstream/value_memory.py
+++ b/flintridge/downstream/value_memory.py
@@ -1,9 +1,9 @@
-"""The memory reservation for the long value that a client connection reads."""
+"""The memory reservation for the value that a client connection reads."""
 
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.runtime.clock import Clock
 
-MEMORY_WAIT_MS = 1_000.0  # how long a long value may wait for memory
+MEMORY_WAIT_MS = 1_000.0  # how long a value may wait for memory
 
 
 class ValueMemory:
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -15,6 +15,7 @@
 from flintridge.config.node_config import NodeConfig
 from flintridge.core.drivers import Policy
 from flintridge.core.lifecycle import RequestLifecycle
+from flintridge.core.memory_budget import MemoryBudget
 from flintridge.discovery.endpoint_list import EndpointList, configured_endpoints
 from flintridge.discovery.overrides import EndpointOverrides
 from flintridge.discovery.watcher import DiscoveryWatcher, watch_wait_ms
@@ -113,6 +114,7 @@
             config.memory_budget_bytes,
             self.log,
             self.counters,
+            MemoryBudget(config.process_memory_bytes(), self.clock),
         )
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -126,6 +128,7 @@
             self.counters,
             self.core.start_stream,
             self.config.response_budget_bytes,
+            self.core.process_memory,
         )
 
     def _make_discovery_watcher(self) -> DiscoveryWatcher:
@@ -248,6 +251,14 @@
         """
         count = 1 if self._worker_processes is None else self._worker_processes.count
         limits = process_limits(self.config, count)
+        self.core.process_memory.resize(limits.process_memory_bytes)
+        half_of_memory = limits.process_memory_bytes // 2
+        for part in (
+            self.core.request_memory,
+            self.downstream.connections.memory,
+            self.dispatcher.connection_memory,
+        ):
+            part.resize(half_of_memory)
         self.core.memory_budget.resize(limits.memory_bytes)
         self.dispatcher.value_memory.resize(limits.response_memory_bytes)
         self.dispatcher.pool.max_connections = limits.server_connections
--- a/flintridge/reload.py
+++ b/flintridge/reload.py
@@ -55,13 +55,15 @@
     """Resource limits of one process of a node.
 
     Attributes:
+        process_memory_bytes: Memory for everything that the process holds for its clients.
         memory_bytes: Memory for the values of writes; always enough for one value of the maximum size.
-        response_memory_bytes: Memory for long values that are collected before they are sent to clients;
+        response_memory_bytes: Memory for the values that servers send, until they are passed to clients;
             always enough for one value of the maximum size.
         server_connections: Maximum number of open connections to servers.
         client_connections: Maximum number of open client connections.
     """
 
+    process_memory_bytes: int
     memory_bytes: int
     response_memory_bytes: int
     server_connections: int
@@ -76,6 +78,7 @@
         process_count: Number of processes of the node.
     """
     return ProcessLimits(
+        process_memory_bytes=config.process_memory_bytes(process_count),
         memory_bytes=max(MAX_VALUE_BYTES, config.memory_budget_bytes // process_count),
         response_memory_bytes=max(MAX_VALUE_BYTES, config.response_budget_bytes // process_count),
         server_connections=config.server_sockets // process_count,
--- a/flintridge/runtime/listener.py
+++ b/flintridge/runtime/listener.py
@@ -12,7 +12,7 @@
 from flintridge.errors import FlintridgeError
 from flintridge.runtime.acceptor import ACCEPTS_PER_ITERATION, Acceptor
 from flintridge.runtime.clock import Clock
-from flintridge.runtime.streams import TrackingReader
+from flintridge.runtime.streams import TrackingProtocol, TrackingReader
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
@@ -209,4 +209,4 @@
     """Create a protocol as asyncio.start_server does, but with a TrackingReader."""
     reader = TrackingReader(loop)
     reader.queued_since = queued_since
-    return asyncio.StreamReaderProtocol(reader, on_connection, loop=loop)
+    return TrackingProtocol(reader, on_connection)
--- a/flintridge/runtime/streams.py
+++ b/flintridge/runtime/streams.py
@@ -5,9 +5,14 @@
 import os
 import select
 import socket
-from collections.abc import Callable
+import weakref
+from collections.abc import Awaitable, Callable
 
 READ_MAX_BYTES = 32 * 1024  # read from a connection at a time; up to twice as many may wait in its buffer
+# The same of a value that a server sends, for which memory is reserved.
+VALUE_READ_BYTES = 16 * 1024
+# The same while no memory is reserved for what arrives on the connection.
+UNRESERVED_READ_BYTES = 2 * 1024
 DISCARD_READ_BYTES = 64 * 1024
 
 # The poll event for the end of the peer's stream; 0 if the system has none. Without it, the end is detected
@@ -15,13 +20,54 @@
 PEER_CLOSED_EVENT = getattr(select, "POLLRDHUP", 0)
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
-    """Have a transport read no more than READ_MAX_BYTES at a time.
+def limit_read_size(transport: asyncio.BaseTransport, max_bytes: int = READ_MAX_BYTES) -> None:
+    """Have a transport read no more than `max_bytes` at a time.
 
     Bounds memory: by default a transport reads 256 KiB at a time, on any number of connections.
     """
     if hasattr(transport, "max_size"):
-        transport.max_size = READ_MAX_BYTES
+        transport.max_size = max_bytes
+
+
+class ReadFlow:
+    """Pauses the reading of a transport while the reader's buffer is full, or while its owner holds it.
+
+    A reader resumes its transport whenever its buffer has room again, and would end a pause of its owner.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        """Start with a transport that reads."""
+        self._transport = transport
+        self._is_full = False
+        self._is_held = False
+
+    # Called by asyncio.StreamReader
+
+    def pause_reading(self) -> None:
+        """Record that the reader's buffer is full."""
+        self._is_full = True
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Record that the reader's buffer has room."""
+        self._is_full = False
+        self._apply()
+
+    # Called by the owner
+
+    def hold(self) -> None:
+        """Read nothing until `release` is called."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release(self) -> None:
+        """Read again as soon as the reader's buffer has room."""
+        self._is_held = False
+        self._apply()
+
+    def _apply(self) -> None:
+        if not self._is_full and not self._is_held:
+            self._transport.resume_reading()
 
 
 class TrackingReader(asyncio.StreamReader):
@@ -35,6 +81,9 @@
         read_bytes: Number of the received bytes that have been read.
         on_end: Called when the stream ends or fails, even if bytes before that are unread. It can be called
             more than once.
+        on_written: Called when all bytes in the write buffer have been passed to the kernel, after some had
+            to wait there. The transport's limits must have been set to `high=0`.
+        flow: Pauses the transport; None before the connection is made.
         queued_since: The earliest instant at which the first bytes may have arrived while the connection
             waited to be accepted, in milliseconds of the node's clock; None if they arrived later.
     """
@@ -45,8 +94,16 @@
         self.received_bytes = 0
         self.read_bytes = 0
         self.on_end: Callable[[], None] | None = None
+        self.on_written: Callable[[], None] | None = None
+        self.flow: ReadFlow | None = None
         self.queued_since: float | None = None
 
+    def set_transport(self, transport: asyncio.BaseTransport) -> None:
+        """Set the transport, which the reader and the owner of the connection may both pause."""
+        assert isinstance(transport, asyncio.Transport)
+        self.flow = ReadFlow(transport)
+        super().set_transport(self.flow)  # type: ignore[arg-type]  # it is used to pause and resume only
+
     @property
     def has_unread(self) -> bool:
         """Whether received bytes have not been read yet."""
@@ -63,6 +120,11 @@
         self.read_bytes += len(data)
         return data
 
+    def set_read_limit(self, transport: asyncio.BaseTransport, max_bytes: int) -> None:
+        """Read at most `max_bytes` at a time, and pause the transport while more are unread."""
+        limit_read_size(transport, max_bytes)
+        self._limit = max_bytes // 2  # the transport is paused at twice the limit of the base class
+
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # transports pass bytes
         """Buffer bytes that arrived, and count them."""
         self.received_bytes += len(data)
@@ -81,6 +143,31 @@
             self.on_end()
 
 
+class TrackingProtocol(asyncio.StreamReaderProtocol):
+    """The protocol of a stream whose reader is told when the write buffer has become empty."""
+
+    def __init__(
+        self,
+        reader: TrackingReader,
+        on_connection: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]] | None = None,
+    ) -> None:
+        """Create the protocol in the running event loop.
+
+        Args:
+            reader: The stream's reader.
+            on_connection: Called with the streams of an accepted connection; None for an outgoing one.
+        """
+        super().__init__(reader, on_connection, loop=asyncio.get_running_loop())
+        self._tracking_reader = weakref.ref(reader)  # a strong reference would form a cycle
+
+    def resume_writing(self) -> None:
+        """Wake the tasks that wait for the write buffer, and notify the reader."""
+        super().resume_writing()
+        reader = self._tracking_reader()
+        if reader is not None and reader.on_written is not None:
+            reader.on_written()
+
+
 async def open_connection(reader: TrackingReader, host: str, port: int) -> asyncio.StreamWriter:
     """Open a connection as asyncio.open_connection does, but with the given reader.
 
@@ -91,9 +178,9 @@
         OSError: The connection could not be opened.
     """
     loop = asyncio.get_running_loop()
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    protocol = TrackingProtocol(reader)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
-    limit_read_size(transport)
+    limit_read_size(transport, UNRESERVED_READ_BYTES)
     return asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
--- a/flintridge/upstream/connection.py
+++ b/flintridge/upstream/connection.py
@@ -13,13 +13,13 @@
 from flintridge.core.exchange import Exchange
 from flintridge.core.response import AttemptResult
 from flintridge.runtime.clock import Clock, sleep, with_timeout
-from flintridge.runtime.streams import READ_MAX_BYTES, TrackingReader, is_reusable
+from flintridge.runtime.streams import UNRESERVED_READ_BYTES, VALUE_READ_BYTES, TrackingReader, is_reusable
 from flintridge.runtime.streams import open_connection as open_tracked_connection
 
 # How often an attempt is checked while the kernel has accepted no byte of it. Far less than the 0.1 s within
 # which an attempt may still begin after its client has disconnected.
 BEGIN_CHECK_INTERVAL_MS = 10.0
-WRITE_CHUNK_BYTES = 64 * 1024  # how much of a long value is passed to the transport at a time
+WRITE_CHUNK_BYTES = 16 * 1024  # how much of a value is passed to the transport at a time
 
 
 RequestPiece = bytes | bytearray | memoryview
@@ -60,7 +60,7 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop, limit=READ_MAX_BYTES // 2)
+        super().__init__(loop, limit=UNRESERVED_READ_BYTES // 2)
         self.on_unexpected_data: Callable[[], None] | None = None
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # same as in the base class
@@ -131,7 +131,8 @@
                 accepts no byte. An error that it raises withdraws the request.
 
         Returns:
-            The result; None if a long value has begun, which is then in `exchange.streamed_value`.
+            The result; None if the rest of the response needs reserved memory, for the exchange's
+            `streamed_value` or for `unreserved_body_bytes` of it.
 
         Raises:
             OSError: The connection failed.
@@ -147,9 +148,26 @@
         self.request_written = True
         while True:
             result = await self.receive(exchange)
-            if result is not None or exchange.streamed_value is not None:
+            needs_memory = exchange.streamed_value is not None or exchange.unreserved_body_bytes > 0
+            if result is not None or needs_memory:
                 return result
 
+    async def receive_rest(self, exchange: Exchange) -> AttemptResult:
+        """Receive the rest of a response for which memory is reserved.
+
+        Raises:
+            OSError: The connection failed, or ended before the response was complete.
+        """
+        self.set_read_limit(VALUE_READ_BYTES)
+        while True:
+            result = await self.receive(exchange)
+            if result is not None:
+                return result
+
+    def set_read_limit(self, max_bytes: int = UNRESERVED_READ_BYTES) -> None:
+        """Read at most `max_bytes` at a time from now on."""
+        self.reader.set_read_limit(self.writer.transport, max_bytes)
+
     async def _write(self, exchange: Exchange, clock: Clock, check_may_begin: Callable[[], None]) -> None:
         pieces = exchange.encode_request()
         bytes_to_pass = sum(map(len, pieces))
@@ -194,7 +212,7 @@
         Raises:
             OSError: The connection failed, or ended before the response was complete.
         """
-        data = await self.reader.read(READ_MAX_BYTES)
+        data = await self.reader.read(VALUE_READ_BYTES)
         result = exchange.feed(data) if data else exchange.end()
         if result is None and not data:
             raise ConnectionResetError("the server closed the connection")
--- a/flintridge/upstream/connection_pool.py
+++ b/flintridge/upstream/connection_pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 
 from flintridge.config.address import Address
+from flintridge.core.memory_budget import MemoryBudget, unlimited_memory
 from flintridge.errors import FlintridgeError
 from flintridge.runtime.clock import Clock, with_timeout
 from flintridge.runtime.streams import has_pending_input
@@ -20,6 +21,8 @@
 # How long a connection is not reused if its last response did not carry a request id. A duplicate of that
 # response can arrive some milliseconds late and would be taken for the response to the next request.
 QUARANTINE_MS = 50.0
+# What a connection uses, with the input and output that it may hold without a reservation.
+CONNECTION_BYTES = 16 * 1024
 
 
 class ConnectionLimitError(FlintridgeError, OSError):
@@ -77,7 +80,12 @@
     """
 
     def __init__(
-        self, max_connections: int, server_timeout_ms: float, clock: Clock, counters: Counters
+        self,
+        max_connections: int,
+        server_timeout_ms: float,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create an empty pool and start to close expired connections periodically.
 
@@ -86,7 +94,9 @@
             server_timeout_ms: Time after which servers close idle connections, from the settings.
             clock: The node's clock.
             counters: The node's counters.
+            memory: Memory for connections to servers; None: no limit.
         """
+        self._memory = memory or unlimited_memory(clock)
         self.max_connections = max_connections
         self.open_count = 0
         self.idle_timeout = IdleTimeout(server_timeout_ms)
@@ -138,13 +148,14 @@
             OSError: The connection was refused or failed.
             DeadlineExceededError: The connection was not established in time.
         """
-        if self.open_count >= self.max_connections and not self._evict():
+        has_capacity = self.open_count < self.max_connections and self._memory.fits(CONNECTION_BYTES)
+        if not has_capacity and not self._evict():
             raise ConnectionLimitError
-        self.open_count += 1
+        self._count(+1)
         try:
             connection = await with_timeout(self._clock, timeout_ms, open_connection(address))
         except BaseException:
-            self.open_count -= 1
+            self._count(-1)
             self._counters.add("connections_failed")
             raise
         connection.writer.transport.set_write_buffer_limits(high=0)
@@ -163,6 +174,7 @@
             self._counters.add("connections_unexpected_data")
             self.close_connection(connection)
             return
+        connection.set_read_limit()
         connection.idle_since = self._clock.now()
         connection.quarantined_until = 0.0 if names_request else connection.idle_since + QUARANTINE_MS
         connection.reader.on_unexpected_data = lambda: self._drop_idle(server, connection)
@@ -170,7 +182,7 @@
 
     def close_connection(self, connection: UpstreamConnection) -> None:
         """Close a connection that is not among the idle ones."""
-        self.open_count -= 1
+        self._count(-1)
         connection.reader.on_unexpected_data = None
         if connection.writer.transport.get_write_buffer_size():
             # close() would still write the rest of an abandoned request.
@@ -178,6 +190,14 @@
         else:
             connection.writer.close()
 
+    def _count(self, change: int) -> None:
+        """Count a connection that is opened (+1) or closed (-1), and its memory."""
+        self.open_count += change
+        if change > 0:
+            self._memory.charge(CONNECTION_BYTES)
+        else:
+            self._memory.release(CONNECTION_BYTES)
+
     def close_idle(self, server: str) -> None:
         """Close the idle connections to one server."""
         for connection in self._idle.pop(server, ()):
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import sys
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -14,9 +15,9 @@
 from flintridge.codec.http.origin import OriginExchange, OriginHealthCheck
 from flintridge.codec.memcache.exchange import CacheExchange, CacheHealthCheck
 from flintridge.core.exchange import Exchange
-from flintridge.core.memory_budget import MemoryBudget
+from flintridge.core.memory_budget import MemoryBudget, unlimited_memory
 from flintridge.core.request import UpstreamAttempt
-from flintridge.core.response import AttemptResult, StreamedResponse, StreamedValue
+from flintridge.core.response import AttemptResult, Response, StreamedResponse, StreamedValue
 from flintridge.discovery.endpoint_list import EndpointAddress, EndpointList
 from flintridge.runtime.clock import Clock, DeadlineExceededError, to_ms, with_timeout
 from flintridge.runtime.local_failure import ROUTE_ERRNO, describe_errno, is_local_failure
@@ -77,7 +78,8 @@
 
     Attributes:
         pool: The connections to servers.
-        value_memory: Memory for long values that are collected before they are forwarded.
+        value_memory: Memory for values that are received, a part of the process's memory for its clients.
+        connection_memory: Memory for connections to servers, another part of it.
     """
 
     def __init__(
@@ -90,7 +92,8 @@
         log: EventLog,
         counters: Counters,
         start_stream: StartStream = _stream_nothing,
-        value_memory_bytes: int = 0,
+        value_memory_bytes: int = sys.maxsize,
+        process_memory: MemoryBudget | None = None,
     ) -> None:
         """Create a dispatcher in the running event loop.
 
@@ -104,9 +107,14 @@
             counters: The node's counters.
             start_stream: Called when the response with a long value may begin, which ends the attempt.
                 Returns where to write the value, or None if the client no longer waits for it.
-            value_memory_bytes: Memory for long values that are collected before they are forwarded.
+            value_memory_bytes: Memory for values that are received.
+            process_memory: Memory for everything that the process holds for its clients; None: no limit.
         """
-        self.pool = ConnectionPool(max_connections, to_ms(settings.limits.conn_idle_ns), clock, counters)
+        process_memory = process_memory or unlimited_memory(clock)
+        self.connection_memory = MemoryBudget(process_memory.total // 2, clock, process_memory)
+        self.pool = ConnectionPool(
+            max_connections, to_ms(settings.limits.conn_idle_ns), clock, counters, self.connection_memory
+        )
         self._connector = Connector(self.pool, clock, counters)
         self._endpoints = endpoints
         self._connect_timeout_ms = to_ms(settings.limits.connect_timeout_ns)
@@ -115,7 +123,7 @@
         self._log = log
         self._counters = counters
         self._start_stream = start_stream
-        self.value_memory = MemoryBudget(value_memory_bytes, clock)
+        self.value_memory = MemoryBudget(value_memory_bytes, clock, process_memory)
         self._delivery_services = DeliveryServices(clock, self.value_memory, log, counters)
         self._tasks: dict[asyncio.Task[None], None] = {}  # an ordered set
 
@@ -197,19 +205,43 @@
         check = partial(check_may_begin, attempt, self._clock)
         performing = connection.perform(exchange, self._clock, attempt.written_by, check)
         result = await with_timeout(self._clock, attempt.deadline - self._clock.now(), performing)
+        if result is None and exchange.streamed_value is None:
+            result = await self._receive_unreserved_body(attempt, exchange, progress)
         self.pool.idle_timeout.record_reuse(self._clock.now(), connection.idle_before_use_ms, lost=False)
         value = exchange.streamed_value
         if value is None or _is_malformed(result):
             assert result is not None
             progress.result = result
         else:
-            await self._deliver_long_value(attempt, exchange, progress, result)
+            await self._deliver_value(attempt, exchange, progress, result)
         self._release_if_reusable(attempt, exchange, progress)
 
-    async def _deliver_long_value(
+    async def _receive_unreserved_body(
+        self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress
+    ) -> AttemptResult:
+        """Receive a body whose length is unknown, or that is no value, once memory is reserved for it.
+
+        Raises:
+            DeadlineExceededError: The attempt's deadline has passed.
+            OSError: The connection failed.
+        """
+        assert progress.connection is not None
+        time_left_ms = attempt.deadline - self._clock.now()
+        body_bytes = exchange.unreserved_body_bytes
+        if not await self.value_memory.reserve(body_bytes, time_left_ms):
+            raise DeadlineExceededError
+        try:
+            receiving = progress.connection.receive_rest(exchange)
+            return await with_timeout(self._clock, attempt.deadline - self._clock.now(), receiving)
+        finally:
+            self.value_memory.release(body_bytes)
+
+    async def _deliver_value(
         self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress, result: AttemptResult | None
     ) -> None:
-        """Deliver the long value that has begun, and record the attempt's result in `progress`.
+        """Deliver the value that has begun, and record the attempt's result in `progress`.
+
+        A value that is not long and was received whole is the response of the result.
 
         Args:
             attempt: The attempt that the value answers.
@@ -231,6 +263,10 @@
                 return
             # The client may read slowly, while the connection can carry other attempts.
             self._release_if_reusable(attempt, exchange, progress)
+            whole = delivery.take_short_value()
+            if whole is not None:
+                progress.result = replace(progress.result, response=Response(whole, receipt=False))
+                return
             response = self._start_stream(attempt, value)
             if response is not None:
                 await delivery.forward(response)
@@ -331,7 +367,10 @@
         exchange: Exchange = OriginHealthCheck(_host(endpoint)) if endpoint.origin else CacheHealthCheck()
         performing = connection.perform(exchange, self._clock)
         result = await with_timeout(self._clock, HEALTH_CHECK_TIMEOUT_MS, performing)
-        assert result is not None  # a load report is never a long value
+        if result is None:  # a load report is never a value, but its length may be unknown
+            result = await with_timeout(
+                self._clock, HEALTH_CHECK_TIMEOUT_MS, connection.receive_rest(exchange)
+            )
         progress.result = result
         if exchange.reusable:
             self._release(server, progress, exchange.names_request)
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -1,4 +1,7 @@
-"""Delivers a long value from a server to a client: whole if possible, otherwise in chunks as they arrive.
+"""Delivers a value from a server to a client: whole if possible, otherwise in chunks as they arrive.
+
+No more of a value than its first bytes is received before memory is reserved. A value that is not long is
+received whole. If no memory is free, it waits for its turn among its connection's responses.
 
 A value that breaks after its first bytes were forwarded can only be ended by closing the client's connection,
 and with it the requests behind the value that were read from the connection. Therefore a value is forwarded
@@ -9,12 +12,14 @@
 from types import TracebackType
 
 from flintridge.api import Outcome
+from flintridge.codec.long_value import LONG_VALUE_BYTES
 from flintridge.core.exchange import Exchange
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.request import UpstreamAttempt
 from flintridge.core.response import AttemptResult, DownstreamClosedError, StreamedResponse
 from flintridge.errors import FlintridgeError
 from flintridge.runtime.clock import Clock, DeadlineExceededError, with_timeout
+from flintridge.runtime.streams import VALUE_READ_BYTES
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 from flintridge.upstream.connection import UpstreamConnection
@@ -28,6 +33,8 @@
 MAX_HOLD_BEFORE_REQUESTS_MS = 1_850.0
 # How long a value is collected at its turn if its client's time passed while it waited for earlier responses.
 LATE_COLLECT_MS = 250.0
+# Memory of a value that is forwarded as it arrives, in the buffers of both connections.
+STREAM_WINDOW_BYTES = 4 * VALUE_READ_BYTES
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
@@ -84,6 +91,8 @@
         self._result = result
         self._services = services
         self._buffer: ValueBuffer | None = None
+        self._window_bytes = 0  # reserved while the value is forwarded as it arrives
+        self._is_long = self._value.length > LONG_VALUE_BYTES
         self._must_be_whole = False
 
     def __enter__(self) -> "LongValueDelivery":
@@ -94,6 +103,7 @@
     ) -> None:
         if self._buffer is not None:
             self._buffer.clear()
+        self._services.memory_budget.release(self._window_bytes)
 
     # Before the response begins
 
@@ -107,15 +117,24 @@
             DeadlineExceededError: The value has to be complete first, and is not in time.
             OSError: The server's connection broke.
         """
-        self._must_be_whole = not self._attempt.hold_later_commands()
+        self._must_be_whole = not self._is_long or not self._attempt.hold_later_commands()
         if self._try_reserve():
             assert self._buffer is not None
-            if self._must_be_whole:
+            if not self._is_long:
+                time_left_ms = self._attempt.deadline - self._services.clock.now()
+                await with_timeout(self._services.clock, time_left_ms, self._collect(self._buffer))
+            elif self._must_be_whole:
                 await self._collect_for(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
             else:
                 await self._collect_part(self._buffer)
         return self._result or self._value.result
 
+    def take_short_value(self) -> bytes | None:
+        """Take the value if it is not long and was received whole; None otherwise."""
+        if self._is_long or self._buffer is None:
+            return None
+        return self._buffer.take_all()
+
     def _try_reserve(self) -> bool:
         """Reserve memory that is free.
 
@@ -147,6 +166,7 @@
         await with_timeout(clock, min(max_ms, time_left_ms), self._collect(buffer))
 
     async def _collect(self, buffer: ValueBuffer) -> None:
+        self._connection.set_read_limit(VALUE_READ_BYTES)
         buffer.append(self._value.take_chunks())
         while self._result is None:
             self._result = await self._connection.receive(self._exchange)
@@ -163,7 +183,7 @@
         complete = False
         try:
             await response.wait_writable()
-            if self._must_be_whole and self._buffer is None:
+            if self._buffer is None:
                 await self._receive_in_turn()
             complete = self._valid_so_far and await self._write_value(response)
         except DownstreamClosedError:
@@ -186,7 +206,9 @@
         return self._result is None or self._result.outcome is Outcome.OK
 
     async def _receive_in_turn(self) -> None:
-        """Receive the whole value after all earlier responses of the connection were written.
+        """Reserve memory after all earlier responses of the connection were written.
+
+        A value that must be whole is also received.
 
         Raises:
             ValueMemoryError: No memory was free in time.
@@ -197,14 +219,22 @@
         budget = self._services.memory_budget
         time_left_ms = max(self._attempt.response_due - clock.now(), LATE_COLLECT_MS)
         due_at = clock.now() + min(time_left_ms, MAX_HOLD_BEFORE_REQUESTS_MS)
-        if not await budget.reserve(self._value.length, due_at - clock.now()):
+        needed_bytes = self._value.length
+        if not self._must_be_whole:
+            needed_bytes = min(STREAM_WINDOW_BYTES, needed_bytes)
+        if not await budget.reserve(needed_bytes, due_at - clock.now()):
             raise ValueMemoryError
+        if not self._must_be_whole:
+            self._window_bytes = needed_bytes
+            return
         self._buffer = ValueBuffer(budget, self._value.length)
         await with_timeout(clock, due_at - clock.now(), self._collect(self._buffer))
 
     async def _write_value(self, response: StreamedResponse) -> bool:
         """Write what was collected, then the rest as it arrives. Returns whether the value is valid."""
         await self._write_collected(response)
+        if self._result is None:
+            self._connection.set_read_limit(VALUE_READ_BYTES)
         while True:
             await response.wait_writable()
             response.write(self._value.take_chunks())
--- a/flintridge/upstream/value_buffer.py
+++ b/flintridge/upstream/value_buffer.py
@@ -1,11 +1,11 @@
-"""Buffer for a long value that is collected before it is forwarded, in reserved memory."""
+"""Buffer for a value that is collected before it is forwarded, in reserved memory."""
 
 from collections import deque
 from types import TracebackType
 
 from flintridge.core.memory_budget import MemoryBudget
 
-SEGMENT_BYTES = 64 * 1024
+SEGMENT_BYTES = 16 * 1024
 
 
 class ValueBuffer:
@@ -51,6 +51,12 @@
         self._release(len(segment))
         return segment
 
+    def take_all(self) -> bytes:
+        """Remove and return all bytes; their memory stays reserved until `clear`."""
+        whole = b"".join(self._segments)
+        self._segments.clear()
+        return whole
+
     def clear(self) -> None:
         """Discard the bytes, and release the rest of the reservation."""
         self._segments.clear()
--- a/tests/codec/test_long_values.py
+++ b/tests/codec/test_long_values.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from support.codec import complete_commands
 from support.long_values import ANSWER, CUTS, HTTP, LENGTH, LONG_WRITE, VALUE, pieces_of
 from support.network import FIXED, SETTINGS, make_request
 
@@ -10,7 +11,7 @@
 from flintridge.codec.http.origin import OriginExchange
 from flintridge.codec.long_value import MAX_VALUE_BYTES
 from flintridge.codec.memcache.command_parser import CommandParser
-from flintridge.codec.memcache.commands import InvalidCommand, LongValueAnnounced
+from flintridge.codec.memcache.commands import InvalidCommand, ValueAnnounced
 from flintridge.codec.memcache.exchange import CacheExchange
 from flintridge.core.request import Request
 
@@ -112,18 +113,17 @@
 def test_long_write_when_admitted_or_not_is_complete_or_skipped_and_parsing_continues(cuts, admitted):
     parser, found, announced = CommandParser(SETTINGS), [], 0
     for piece in pieces_of(LONG_WRITE + b"mn\r\n" + LONG_WRITE + b"mn\r\n", cuts):
-        todo = parser.feed(piece)
-        while todo:
-            command = todo.pop(0)
-            if isinstance(command, LongValueAnnounced):
+        parser.feed(piece)
+        while (command := parser.next_command()) is not None:
+            if isinstance(command, ValueAnnounced):
                 assert command.length == LENGTH
-                assert not todo
+                assert parser.next_command() is None
                 announced += 1
-                todo = parser.admit_long_value(admitted)
+                parser.admit_value(admitted)
             else:
                 found.append(command)
     assert announced == 2
-    assert [type(c).__name__ for c in found] == ["Request" if admitted else "LongValueSkipped", "NoOp"] * 2
+    assert [type(c).__name__ for c in found] == ["Request" if admitted else "ValueSkipped", "NoOp"] * 2
     assert not admitted or all(c.value == VALUE for c in found if isinstance(c, Request))
     assert parser.idle
 
@@ -132,6 +132,5 @@
 def test_long_write_when_its_terminator_is_malformed_is_fatal(admitted):
     # Guards against parsing the rest of a wrongly measured value as commands, even if the value is skipped.
     parser = CommandParser(SETTINGS)
-    parser.feed(LONG_WRITE[:-2] + b"XY")
-    (bad,) = parser.admit_long_value(admitted)
+    (bad,) = complete_commands(parser, LONG_WRITE[:-2] + b"XY", admitted)
     assert bad == InvalidCommand("bad data chunk", fatal=True)
--- a/tests/core/test_memory_budget.py
+++ b/tests/core/test_memory_budget.py
@@ -48,3 +48,24 @@
     while reserved:
         budget.release(reserved.pop())
     assert budget.reserved == 0 and not budget._waiting
+
+
+def test_child_budget_when_its_parent_is_used_up_then_waits_until_others_release():
+    clock = ManualClock()
+    parent = MemoryBudget(100, clock)
+    values = MemoryBudget(80, clock, parent)
+    connections = MemoryBudget(50, clock, parent)
+    decisions = []
+    assert connections.try_reserve(50)
+    assert not connections.try_reserve(1)  # its own limit
+    assert not values.try_reserve(60)  # the parent's
+    values.wait(60, 1000, decisions.append)
+    connections.charge(20)  # in use already: beyond the limit
+    assert (parent.reserved, connections.reserved, decisions) == (70, 70, [])
+    connections.release(30)
+    assert decisions == [True] and parent.reserved == 100
+    values.wait(101, 1000, decisions.append)
+    assert decisions == [True, False]
+    values.release(60)
+    connections.release(40)
+    assert parent.reserved == 0
--- a/tests/downstream/test_command_executor.py
+++ b/tests/downstream/test_command_executor.py
@@ -4,7 +4,7 @@
 from support.core import ScriptedPolicy
 from support.network import SETTINGS, ManualClock, log_and_counters, make_request
 
-from flintridge.codec.memcache.commands import InvalidCommand, LongValueSkipped, NoOp
+from flintridge.codec.memcache.commands import InvalidCommand, NoOp, ValueSkipped
 from flintridge.codec.memcache.encoder import NO_OP_RESPONSE, encode_client_error, encode_rejection
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.downstream.command_executor import MAX_BAD_COMMANDS, CommandExecutor
@@ -67,7 +67,7 @@
     ("command", "response", "counter"),
     [
         (NoOp(), [NO_OP_RESPONSE], None),
-        (LongValueSkipped(), encode_rejection(0.0), "values_rejected_for_memory"),
+        (ValueSkipped(), encode_rejection(0.0), "values_rejected_for_memory"),
         (InvalidCommand("bad key"), encode_client_error("bad key"), "bad_commands"),
     ],
 )
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -11,7 +11,6 @@
 from flintridge.downstream.command_timer import COMMAND_TIMEOUT_MS
 from flintridge.downstream.connection import (
     IDLE_TIMEOUT_MS,
-    MAX_UNREAD_RESPONSE_BYTES,
 )
 from flintridge.downstream.lingering_close import (
     LINGERING_CLOSE_MAX_BYTES,
@@ -257,7 +256,7 @@
             def served() -> bool:
                 for request in list(harness.core.open_requests):
                     harness.take_responder(request.id).respond(Response(b"x" * 65536, receipt=False))
-                return connection._writer.transport.get_write_buffer_size() > MAX_UNREAD_RESPONSE_BYTES
+                return connection.has_unread_responses
 
             await until(served)
             harness.clock.advance(SLOW_READER_TIMEOUT_MS / 2)
--- a/tests/downstream/test_eviction.py
+++ b/tests/downstream/test_eviction.py
@@ -16,6 +16,7 @@
         self.closing = False
         self.pending = False
         self.half_command = False
+        self.has_unread_responses = False
 
     @property
     def has_pending(self) -> bool:
@@ -26,15 +27,21 @@
     def idle(self) -> bool:
         return not self.pending and not self.half_command
 
+    @property
+    def is_between_requests(self) -> bool:
+        if self.pending or self.has_unread_responses:
+            return False
+        return self.idle or not self.has_requested
+
 
 def expected_victim(connections: list[Connection]) -> Connection | None:
     """The connection that the order requires, found by a search through all."""
-    evictable = [c for c in connections if c.closing or (not c.pending and (c.idle or not c.has_requested))]
+    evictable = [c for c in connections if c.closing or c.is_between_requests]
     return min(evictable, key=lambda c: (not c.closing, not c.has_requested, c.last_used_at), default=None)
 
 
 ACTIONS = st.tuples(
-    st.sampled_from(["open", "use", "request", "pend", "half", "close", "remove", "evict"]),
+    st.sampled_from(["open", "use", "request", "pend", "unread", "half", "close", "remove", "evict"]),
     st.integers(0, 9),
 )
 
@@ -44,6 +51,9 @@
     if action == "pend":
         connection.pending = not connection.pending
         return  # the connection is neither read nor written
+    if action == "unread":
+        connection.has_unread_responses = not connection.has_unread_responses
+        return
     if action == "half":
         connection.half_command = True
     connection.has_requested |= action == "request"
--- a/tests/downstream/test_open_connections.py
+++ b/tests/downstream/test_open_connections.py
@@ -3,7 +3,13 @@
 import pytest
 from support.network import ManualClock, log_and_counters
 
-from flintridge.downstream.open_connections import MAX_LINGERING_BEYOND_LIMIT, OpenConnections
+from flintridge.core.memory_budget import MemoryBudget
+from flintridge.downstream.open_connections import (
+    CONNECTION_BYTES,
+    MAX_LINGERING_BEYOND_LIMIT,
+    READ_AHEAD_BYTES,
+    OpenConnections,
+)
 
 LIMIT = 3
 
@@ -13,12 +19,16 @@
 
     idle = True
     closing = False
+    has_unread_responses = False
 
     def __init__(self, has_requested: bool = True, has_pending: bool = False) -> None:
         self.has_requested = has_requested
         self.has_pending = has_pending
         self.calls: list[str] = []
 
+    def allow_read_ahead(self) -> None:
+        self.calls.append("read ahead")
+
     def evict(self) -> None:
         self.calls.append("evict")
 
@@ -29,7 +39,9 @@
 @pytest.fixture
 def connections():
     _, counters = log_and_counters()
-    return OpenConnections(LIMIT, ManualClock(), counters)
+    # Half of it is for connections: enough for LIMIT of them that do not read ahead.
+    memory = MemoryBudget(LIMIT * 2 * CONNECTION_BYTES, ManualClock())
+    return OpenConnections(LIMIT, memory, ManualClock(), counters)
 
 
 def fill(connections: OpenConnections, count: int = LIMIT, **state) -> list[Connection]:
@@ -83,3 +95,22 @@
     assert connections.evict_one()
     connections.abort_all()
     assert [connection.calls[-1] for connection in added] == ["abort"] * LIMIT
+
+
+def test_capacity_when_memory_is_short_then_a_connection_is_evicted_below_the_limit(connections):
+    connections.limit = 2 * LIMIT
+    first, *others = fill(connections)
+    assert connections.ensure_capacity()
+    assert first.calls == ["evict"] and list(connections) == others
+    assert connections.memory.reserved == len(others) * CONNECTION_BYTES
+
+
+def test_connection_when_most_memory_is_free_then_reads_ahead():
+    _, counters = log_and_counters()
+    memory = MemoryBudget(4 * READ_AHEAD_BYTES + 8 * CONNECTION_BYTES, ManualClock())
+    connections = OpenConnections(LIMIT, memory, ManualClock(), counters)
+    first, second = fill(connections, 2)
+    assert first.calls == ["read ahead"] and second.calls == []
+    connections.remove(first)
+    connections.remove(second)
+    assert connections.memory.reserved == 0
--- a/tests/lab/load/test_commands.py
+++ b/tests/lab/load/test_commands.py
@@ -2,9 +2,9 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from support.network import FIXED, SETTINGS
+from support.codec import parse_commands
+from support.network import FIXED
 
-from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.core.request import Request
 from flintridge.lab.load.commands import CommandEncoder
 from flintridge.lab.load.generated_requests import GeneratedRequest
@@ -25,7 +25,7 @@
     )
     key = "5c0f6e1a2b3d4c59" if encoder.is_keyed(request) else ""
     command = encoder.encode(request, "9b1f03aa5c7e2d41", 480, attempt_number, 12_500, key)
-    (parsed,) = CommandParser(SETTINGS).feed(command.data)
+    (parsed,) = parse_commands([command.data])
     assert isinstance(parsed, Request)
     assert (parsed.id, parsed.key, parsed.timeout_ms) == (b"9b1f03aa5c7e2d41", b"menu:1a2b", 480)
     assert (parsed.retry, parsed.work_us, parsed.size) == (attempt_number > 0, 12_500, command.facts.size)
--- a/tests/runtime/test_streams.py
+++ b/tests/runtime/test_streams.py
@@ -6,7 +6,7 @@
 from support.network import until
 
 from flintridge.runtime.streams import (
-    READ_MAX_BYTES,
+    UNRESERVED_READ_BYTES,
     TrackingReader,
     discard_input,
     has_pending_input,
@@ -74,7 +74,7 @@
 def test_open_connection_when_opened_then_reads_no_more_than_the_limit_at_a_time():
     async def test():
         async with Connection() as connection:
-            assert connection.transport.max_size == READ_MAX_BYTES
+            assert connection.transport.max_size == UNRESERVED_READ_BYTES
 
     asyncio.run(test())
 
--- a/tests/support/codec.py
+++ b/tests/support/codec.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 
 from flintridge.codec.memcache.command_parser import CommandParser
+from flintridge.codec.memcache.commands import ValueAnnounced
 from support.network import SETTINGS
 
 READ = b"mg key7 v Oa1 Pc=read,t=acme,d=480,h=12000,size=18\r\n"
@@ -19,9 +20,21 @@
     return [data[a:b] for a, b in zip([0, *places], [*places, len(data)], strict=True)]
 
 
+def complete_commands(parser: CommandParser, data: bytes = b"", admitted: bool = True) -> list:
+    """Feed bytes to a parser, and return the commands that are complete; values are admitted or skipped."""
+    commands = []
+    parser.feed(data)
+    while (command := parser.next_command()) is not None:
+        if isinstance(command, ValueAnnounced):
+            parser.admit_value(admitted)
+        else:
+            commands.append(command)
+    return commands
+
+
 def parse_commands(pieces: list[bytes]) -> list:
     parser = CommandParser(SETTINGS)
-    return [command for piece in pieces for command in parser.feed(piece)]
+    return [command for piece in pieces for command in complete_commands(parser, piece)]
 
 
 def feed_all(exchange, pieces: list[bytes]):
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -74,6 +74,7 @@
     async def __aexit__(self, *_) -> None:
         for _, writer in self._connections:
             writer.transport.abort()
+        await asyncio.sleep(0)  # the event loop closes the sockets in a later iteration
 
     async def read_some(self) -> None:
         """Have each client read a small part of the responses that wait for it."""
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -161,6 +161,10 @@
         self.server.close()
         for writer in self.writers:
             writer.close()
+        await asyncio.sleep(0)
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)  # the event loop closes the sockets in a later iteration
 
     async def serve(self, reader, writer) -> None:
         self.connections += 1
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -92,6 +92,7 @@
             yield port
         finally:
             self.kill()
+            await self.process.wait()
 
     def kill(self) -> None:
         """Kill the process if it runs."""
--- a/tests/support/upstream.py
+++ b/tests/support/upstream.py
@@ -32,6 +32,7 @@
         flavor: str = "m2",
         settings=SETTINGS,
         start_stream=lambda *_: None,
+        value_memory_bytes=1 << 30,
         monkeypatch=None,
         clock=None,
     ) -> None:
@@ -50,6 +51,7 @@
             log,
             self.counters,
             start_stream,
+            value_memory_bytes,
         )
         self.connections: dict[UpstreamConnection, None] = {}
         self._record_connections()
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -9,7 +9,7 @@
 from support.network import until
 
 from flintridge.lab import virtual
-from flintridge.upstream.long_value_delivery import MAX_HOLD_MS
+from flintridge.upstream.long_value_delivery import MAX_HOLD_MS, STREAM_WINDOW_BYTES
 
 FAILED = b"SERVER_ERROR failed\r\n"
 DEADLINE_MS = 2_000
@@ -152,15 +152,18 @@
     play(test)
 
 
-def test_value_when_no_memory_is_free_and_nothing_is_behind_it_then_is_streamed(play):
+def test_value_when_little_memory_gets_free_and_nothing_is_behind_it_then_is_streamed(play):
     async def test():
         async with BreakingFleet(Break.RESET, breaks=0) as fleet:
             memory = fleet.occupy_value_memory()
             client = await fleet.connect()
             client.writer.write(read("long", "x"))
+            await until(lambda: fleet.counters["responses_streamed"] == 1)
+            assert client.responses == []
+            memory.release(STREAM_WINDOW_BYTES)  # too little to collect the value
             await until(lambda: len(client.responses) == 1)
             client.writer.write(read("long", "y") + b"mn\r\n")
-            memory.release(memory.total)
+            memory.release(memory.total - STREAM_WINDOW_BYTES)
             await until(lambda: len(client.responses) == 3)
             assert client.responses == [served("x", VALUE), served("y", VALUE), b"MN\r\n"]
             client.close()
--- a/tests/upstream/test_attempt_termination.py
+++ b/tests/upstream/test_attempt_termination.py
@@ -104,7 +104,7 @@
 @pytest.mark.parametrize("limit", ["until", "written_by"])
 @pytest.mark.parametrize(
     ("flavor", "value_bytes", "waits"),
-    [("m2", 60_000, 1), ("origin", 60_000 + WRITE_CHUNK_BYTES, 2)],
+    [("m2", WRITE_CHUNK_BYTES - 5_000, 1), ("origin", 2 * WRITE_CHUNK_BYTES - 5_000, 2)],
     ids=["short value", "long value"],
 )
 def test_attempt_when_it_times_out_as_its_last_byte_goes_out_may_have_been_executed(
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -8,15 +8,16 @@
 from support.upstream import UpstreamHarness
 
 from flintridge.lab import virtual
-from flintridge.runtime.streams import READ_MAX_BYTES as READ_AT_A_TIME
-from flintridge.upstream.long_value_delivery import SERVER_STALL_MS
+from flintridge.runtime.streams import VALUE_READ_BYTES as READ_AT_A_TIME
+from flintridge.upstream.long_value_delivery import SERVER_STALL_MS, STREAM_WINDOW_BYTES
 
 
 class StreamingHarness(UpstreamHarness):
     """An upstream harness that streams long values to `streamed`."""
 
     def __init__(self, port: int) -> None:
-        super().__init__(port, start_stream=self._start_stream)
+        # Too little to collect a long value before it is forwarded.
+        super().__init__(port, start_stream=self._start_stream, value_memory_bytes=STREAM_WINDOW_BYTES)
         self.streamed = RecordedStream(0)
         self.started_lengths: list[int] = []
 
