Bound the rejections that the policy remembers, and test one client at full speed

Cause: a rejection is remembered for the client's whole time, up to max_open of them (20,000 in the settings of the deployment), with the key that the client chose. At 20,000 requests a second of one client that bound is reached, although a retry of any of them is hardly ever matched.

Change: at most 2,048 are remembered.

--- a/flintridge/policy/mechanisms.py
+++ b/flintridge/policy/mechanisms.py
@@ -9,7 +9,7 @@
 from flintridge.policy.endpoint_state import ServerTable
 from flintridge.policy.outlier_detection import OutlierDetection
 from flintridge.policy.quota import Quotas
-from flintridge.policy.rejected_requests import RejectedRequests
+from flintridge.policy.rejected_requests import MAX_REMEMBERED_REJECTIONS, RejectedRequests
 from flintridge.policy.request_coalescing import RequestCoalescing
 from flintridge.policy.retry import RetryPolicy
 from flintridge.policy.server_selection import ServerSelection
@@ -56,7 +56,7 @@
         self.cache_limiter = self.queues.caches.limiter
         self.origin_limiter = self.queues.origin.limiter
         self.quotas = Quotas(settings.tenants, settings.fleet_size, rng)
-        self.rejected = RejectedRequests(settings.classes, limits.max_open)
+        self.rejected = RejectedRequests(settings.classes, min(limits.max_open, MAX_REMEMBERED_REJECTIONS))
         self.outliers = OutlierDetection(self.table, settings.rules)
         self.slow_start = SlowStartBudget(settings, self.table, rng)
         self.selection = ServerSelection(self.table, self.cache_limiter, self.outliers, self.slow_start)
--- a/flintridge/policy/rejected_requests.py
+++ b/flintridge/policy/rejected_requests.py
@@ -11,6 +11,8 @@
 from flintridge.policy.quota import Quotas
 
 MIN_RETRY_AFTER_NS = 1_000_000
+# How many rejections are remembered: a client can have any number of requests rejected within their time.
+MAX_REMEMBERED_REJECTIONS = 2_048
 EXPIRY_CHECKS_PER_CALL = 2  # entries checked, and dropped if expired, for each new entry
 
 
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -6,6 +6,7 @@
 from support.downstream import BUSY, ENDPOINT_LIST, FAILED, READ, DownstreamHarness
 from support.network import until
 
+from flintridge.codec.memcache.encoder import NO_OP_RESPONSE
 from flintridge.core.response import Response
 from flintridge.downstream.command_executor import MAX_BAD_COMMANDS
 from flintridge.downstream.command_timer import COMMAND_TIMEOUT_MS
@@ -286,3 +287,18 @@
             assert await half.read() == BUSY
 
     play(test)
+
+
+def test_client_when_another_sends_many_commands_at_once_then_is_answered_before_most_of_them():
+    commands = 20_000
+
+    async def test():
+        async with DownstreamHarness() as harness:
+            flooding, writer = await harness.stream_client(b"mn\r\n" * commands)
+            await until(lambda: flooding._buffer)
+            other, _ = await harness.stream_client(b"mn\r\n")
+            assert await other.readline() == NO_OP_RESPONSE
+            answered = len(flooding._buffer) // len(NO_OP_RESPONSE)
+            assert 0 < answered < commands // 10
+
+    asyncio.run(test())
--- a/tests/policy/test_rejected_requests.py
+++ b/tests/policy/test_rejected_requests.py
@@ -1,10 +1,13 @@
 """Rejected requests: how their retries are recognized, and when they are forgotten."""
 
+import random
+
 import pytest
 from support.policy import MS, START, S, open_request
 
 from flintridge import api
-from flintridge.policy.rejected_requests import RejectedRequests, Rejection
+from flintridge.policy.mechanisms import Mechanisms
+from flintridge.policy.rejected_requests import MAX_REMEMBERED_REJECTIONS, RejectedRequests, Rejection
 
 CLASSES = (api.RequestClass(deadline_ns=2 * S), api.RequestClass(deadline_ns=4 * S))
 
@@ -52,3 +55,11 @@
     assert made.pop_match(open_request("k6", retry=True).event, START) is not None
     made.record(open_request("new", now=START + 9 * S), START + 9 * S)
     assert len(made) == 2  # each new entry drops two whose clients have given up
+
+
+def test_a_policy_remembers_a_bounded_number_of_rejections_whatever_may_be_open():
+    limits = api.Limits(max_open=10 * MAX_REMEMBERED_REJECTIONS)
+    made = Mechanisms(api.Settings(classes=CLASSES, limits=limits), random.Random(1)).rejected
+    for number in range(MAX_REMEMBERED_REJECTIONS + 10):
+        made.record(open_request(key=f"key{number}"), START)
+    assert len(made) == MAX_REMEMBERED_REJECTIONS
