--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -294,7 +294,7 @@
 
     async def test():
         async with DownstreamHarness() as harness:
-            flooding, writer = await harness.stream_client(b"mn\r\n" * commands)
+            flooding, _ = await harness.stream_client(b"mn\r\n" * commands)
             await until(lambda: flooding._buffer)
             other, _ = await harness.stream_client(b"mn\r\n")
             assert await other.readline() == NO_OP_RESPONSE
