Execute one command at a time while the end of the client's stream may be unseen

Cause: the end of the client's stream comes behind its bytes. Once the kernel's receive buffer is full the end does not arrive, so neither the event loop nor POLLRDHUP shows it, and 16 commands of the client are in progress. docs/termination.md named this as not seen.

Change: while more than 32 KiB of a connection's input wait in the kernel, the next command is processed only after the response to the one before was written. A client that has left answers that write with a reset, which is checked before the next command. Values that are pipelined over 32 KiB are executed one after another from now on.

The new test fails before (16 requests begun in place of 1). What stays: the single command in progress can be retried until its response is written.

--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -15,8 +15,11 @@
 from flintridge.downstream.reading_control import ReadingControl
 from flintridge.downstream.unread_responses import UnreadResponses
 from flintridge.runtime.clock import DeadlineExceededError
-from flintridge.runtime.streams import TrackingReader, peer_has_closed
+from flintridge.runtime.streams import TrackingReader, peer_has_closed, pending_input_bytes
 
+# With more input than this in the kernel, its receive window may be closed, and the end of the client's stream
+# does not arrive. A response that is written to a client that has left shows it nevertheless.
+MAX_INPUT_BEFORE_UNSEEN_END_BYTES = 32 * 1024
 # How many commands of a connection are processed before other connections get a turn.
 COMMANDS_PER_TURN = 16
 IDLE_TIMEOUT_MS = 2_000.0  # a connection with nothing pending is closed after this
@@ -258,18 +261,25 @@
     def _may_process_commands(self) -> bool:
         """Whether the connection has neither too many pending nor unread responses, and memory is not short.
 
+        If the client may have left unnoticed, a command is processed only after the response to the one
+        before. Guards against executing the requests of a client that has sent much and left.
+
         Checked after each command, not after each read: a single read can contain many commands, and all
         their responses would be retained for a client that reads none of them.
         """
-        if self.has_unread_responses:
-            return False
-        return not self._pipeline or not (self._pipeline.full or not self._owner.core.has_request_memory)
+        return not self.has_unread_responses and not (self._pipeline and self._must_wait_for_responses())
+
+    def _must_wait_for_responses(self) -> bool:
+        if self._pipeline.full or not self._owner.core.has_request_memory:
+            return True
+        return pending_input_bytes(self._transport) > MAX_INPUT_BEFORE_UNSEEN_END_BYTES
 
     async def _wait_until_commands_may_be_processed(self) -> None:
-        while self._pipeline and (self._pipeline.full or not self._owner.core.has_request_memory):
+        while self._pipeline and self._must_wait_for_responses():
             await self._pipeline.wait_for_change()
         if self.has_unread_responses:
             await self.wait_until_read()
+        self.check_disconnected()
 
     def _uncork(self) -> None:
         """Write the responses that were completed while commands were processed, in a single write."""
--- a/flintridge/runtime/streams.py
+++ b/flintridge/runtime/streams.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import fcntl
 import os
 import select
 import socket
+import termios
 import weakref
+from array import array
 from collections.abc import Awaitable, Callable
 
 READ_MAX_BYTES = 32 * 1024  # read from a connection at a time; up to twice as many may wait in its buffer
@@ -219,6 +222,17 @@
     return _pending_events(transport, select.POLLIN | PEER_CLOSED_EVENT) != 0
 
 
+def pending_input_bytes(transport: asyncio.BaseTransport) -> int:
+    """How many bytes of a connection's input the kernel has buffered; 0 if that is unknown."""
+    descriptor = _descriptor(transport)
+    if descriptor < 0:
+        return 0
+    count = array("i", [0])
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(descriptor, termios.FIONREAD, count)
+    return count[0]
+
+
 def _descriptor(transport: asyncio.BaseTransport) -> int:
     """The descriptor of a transport's socket; -1 if it has no socket or the socket is closed."""
     sock = transport.get_extra_info("socket")
--- a/tests/downstream/test_connection_termination.py
+++ b/tests/downstream/test_connection_termination.py
@@ -401,3 +401,27 @@
         assert delays == [1, 1, 1]
 
     asyncio.run(test())
+
+
+def test_disconnect_when_its_end_is_behind_more_input_than_the_kernel_takes_then_nothing_more_is_executed():
+    async def test():
+        async with DownstreamHarness(settings=SETTINGS) as harness:
+            client = await harness.socket_client()
+            client.setblocking(False)
+            reads = b"".join(READ % b"r%d" % i for i in range(100_000))
+            with contextlib.suppress(BlockingIOError):
+                while True:  # until the receive window is closed
+                    reads = reads[client.send(reads) :]
+                    await asyncio.sleep(0)
+            await until(lambda: harness.request_count)
+            await run_loop_turns()
+            assert harness.request_count == 1
+            harness.take_responder("r0").respond(Response(b"ok", receipt=False))
+            await until(lambda: harness.request_count == 2)
+            assert client.recv(100) == b"VA 2 Or0\r\nok\r\n"
+            client.close()
+            harness.take_responder("r1").respond(Response(b"ok", receipt=False))
+            await until(lambda: not harness.downstream.connections)
+            assert harness.request_count == 2
+
+    asyncio.run(test())
