Execute a write once although its client leaves and sends it again under the same id

Cause: an id is known as in use only while the request is open at this process. It is forgotten when the last attempt ends, whether or not the client had its response, and the processes of an upgrade share nothing but their number.

Change: ids of requests that must not run twice are remembered for 10 s after an attempt at them may have run (1,024 at most). Such a request gets CLIENT_ERROR id in use, as it did while the first one was open.

--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -10,6 +10,7 @@
 from flintridge.core.attempts import attempt_ended_event, new_attempt, unsent_outcome
 from flintridge.core.deadlines import ResponseDeadlines
 from flintridge.core.drivers import DiscoveryDriver, Policy, UpstreamDriver
+from flintridge.core.executed_ids import ExecutedIds
 from flintridge.core.memory_budget import MemoryBudget, bytes_to_reserve, unlimited_memory
 from flintridge.core.open_requests import IdInUseError, OpenRequest, OpenRequests
 from flintridge.core.policy_driver import PolicyDriver
@@ -30,6 +31,7 @@
         process_memory: Memory for everything that the process holds for its clients.
         memory_budget: Memory for the values of writes; a part of `process_memory`.
         request_memory: Memory for open requests; a part of `process_memory`.
+        executed_ids: Ids of requests that must not be executed again.
         open_requests: Requests without a final response or with attempts in flight.
         policy_driver: Passes events to the policy.
         settings: The service's settings.
@@ -61,7 +63,10 @@
         self.process_memory = process_memory or unlimited_memory(clock)
         self.memory_budget = MemoryBudget(memory_bytes, clock, self.process_memory)
         self.request_memory = MemoryBudget(self.process_memory.total // 2, clock, self.process_memory)
-        self.open_requests = OpenRequests(self.memory_budget, self.request_memory, OPEN_REQUEST_BYTES)
+        self.open_requests = OpenRequests(
+            self.memory_budget, self.request_memory, OPEN_REQUEST_BYTES, self._request_removed
+        )
+        self.executed_ids = ExecutedIds(clock)
         self.policy_driver = PolicyDriver(policy, self._carry_out, clock, log, counters)
         self.settings = settings
         self.on_attempts_changed: Callable[[UpstreamAttempt, int], None] | None = None
@@ -116,10 +121,12 @@
             The request's id, for `client_disconnected`.
 
         Raises:
-            IdInUseError: A request with this id is open; the caller still owns `reserved_bytes`.
+            IdInUseError: A request with this id is open, or may have been executed and must not be again; the
+                caller still owns `reserved_bytes`.
         """
         request_id = request.id.decode("ascii")
-        if request_id in self.open_requests:
+        is_guarded = self.settings.classes[request.class_index].effect is not api.Effect.SAFE
+        if request_id in self.open_requests or (is_guarded and not self.executed_ids.try_begin(request_id)):
             raise IdInUseError(request_id)
         self._counters.add("requests")
         full = len(self.open_requests) >= self.settings.limits.max_open or not self.has_request_memory
@@ -129,6 +136,8 @@
                 full = True
                 reserved_bytes = 0
         if full:
+            if is_guarded:
+                self.executed_ids.end(request_id, may_have_been_executed=False)
             self._shed(responder, reserved_bytes)
             return request_id
         if arrived_after is None:
@@ -151,6 +160,7 @@
         arrived_after: float,
     ) -> None:
         entry = OpenRequest(request_id, request, responder, reserved_bytes)
+        entry.is_guarded = self.settings.classes[request.class_index].effect is not api.Effect.SAFE
         self._deadlines.start(entry, arrived_after)
         self.open_requests.add(entry)
         if self.on_new_request is not None and not request.retry:
@@ -169,6 +179,10 @@
             )
         )
 
+    def _request_removed(self, request: OpenRequest) -> None:
+        if request.is_guarded:
+            self.executed_ids.end(request.id, request.may_have_been_executed)
+
     def client_disconnected(self, request_id: str) -> None:
         """Record that the client left: it gets no response, but attempts in flight still report their end."""
         entry = self.open_requests.get_unanswered(request_id)
@@ -219,7 +233,7 @@
             self._counters.add("attempts_malformed")
         entry = self.open_requests.get(attempt.id)
         if entry is not None:
-            entry.end_attempt(withdrawn=result.outcome is api.Outcome.WITHDRAWN)
+            entry.end_attempt(result.outcome)
             if result.response is not None and not entry.responded:
                 self._counters.add("responses_served")
                 self.open_requests.mark_responded(entry)
--- a/flintridge/core/open_requests.py
+++ b/flintridge/core/open_requests.py
@@ -1,9 +1,10 @@
 """The open requests of a node, by id, and their state."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from flintridge.api import NEVER_EXECUTED, Outcome
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.request import Request, UpstreamAttempt
 from flintridge.core.request_state import RequestEvent, RequestState, next_state
@@ -30,6 +31,8 @@
         state: Its state.
         attempts: All attempts, in order.
         in_flight: Number of attempts that have not ended.
+        is_guarded: Whether the request must not be executed again under the same id.
+        may_have_been_executed: Whether an attempt has ended that a server may have executed.
         withdrawn: Number of attempts that ended without being sent.
     """
 
@@ -43,6 +46,8 @@
     attempts: list[UpstreamAttempt] = field(default_factory=list)
     in_flight: int = 0
     withdrawn: int = 0
+    is_guarded: bool = False
+    may_have_been_executed: bool = False
 
     @property
     def responded(self) -> bool:
@@ -59,18 +64,16 @@
         self.attempts.append(attempt)
         self.in_flight += 1
 
-    def end_attempt(self, withdrawn: bool) -> None:
-        """Record that one of the attempts in flight has ended.
-
-        Args:
-            withdrawn: Whether the attempt was never sent.
-        """
+    def end_attempt(self, outcome: Outcome) -> None:
+        """Record that one of the attempts in flight has ended with `outcome`."""
         last = self.in_flight == 1
         event = RequestEvent.LAST_ATTEMPT_ENDED if last else RequestEvent.ATTEMPT_ENDED
         self.state = next_state(self.state, event)
         self.in_flight -= 1
-        if withdrawn:
+        if outcome is Outcome.WITHDRAWN:
             self.withdrawn += 1
+        if outcome not in NEVER_EXECUTED:
+            self.may_have_been_executed = True
 
     def mark_responded(self) -> None:
         """Record the final response or the client's departure; attempts not yet begun are not written."""
@@ -89,7 +92,11 @@
     """All open requests, in the order in which they were accepted."""
 
     def __init__(
-        self, memory_budget: MemoryBudget, request_memory: MemoryBudget | None = None, request_bytes: int = 0
+        self,
+        memory_budget: MemoryBudget,
+        request_memory: MemoryBudget | None = None,
+        request_bytes: int = 0,
+        on_removed: Callable[[OpenRequest], None] | None = None,
     ) -> None:
         """Start without requests.
 
@@ -97,7 +104,9 @@
             memory_budget: The bytes reserved for a request are released to it when the request ends.
             request_memory: Each request takes `request_bytes` of it until it ends; None: no limit.
             request_bytes: The memory of one request in bytes, without its value.
+            on_removed: Called with each request that is removed.
         """
+        self._on_removed = on_removed
         self._memory_budget = memory_budget
         self._request_memory = request_memory
         self._request_bytes = request_bytes
@@ -151,16 +160,19 @@
         request = self._by_id.get(request_id)
         if request is not None and request.state is RequestState.FINISHED:
             del self._by_id[request_id]
-            self._release_memory(request)
+            self._release(request)
 
     def close(self) -> None:
         """Remove all requests without a response."""
         for request in self:
             request.cancel_timer()
-            self._release_memory(request)
+            self._release(request)
         self._by_id.clear()
 
-    def _release_memory(self, request: OpenRequest) -> None:
+    def _release(self, request: OpenRequest) -> None:
+        """Release what a removed request held."""
+        if self._on_removed is not None:
+            self._on_removed(request)
         self._memory_budget.release(request.reserved_bytes)
         if self._request_memory is not None:
             self._request_memory.release(self._request_bytes)
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -17,8 +17,8 @@
 from flintridge.runtime.clock import DeadlineExceededError
 from flintridge.runtime.streams import TrackingReader, peer_has_closed, pending_input_bytes
 
-# With more input than this in the kernel, its receive window may be closed, and the end of the client's stream
-# does not arrive. A response that is written to a client that has left shows it nevertheless.
+# With more input than this in the kernel, its receive window may be closed, and the end of the client's
+# stream does not arrive. A response that is written to a client that has left shows it nevertheless.
 MAX_INPUT_BEFORE_UNSEEN_END_BYTES = 32 * 1024
 # How many commands of a connection are processed before other connections get a turn.
 COMMANDS_PER_TURN = 16
--- a/flintridge/runtime/worker_processes.py
+++ b/flintridge/runtime/worker_processes.py
@@ -38,6 +38,7 @@
     """The processes of this node, this one included.
 
     Attributes:
+        folder: The folder that the processes of this node share.
         count: Number of running processes, as of the last count; 1 before the first count.
     """
 
@@ -51,7 +52,7 @@
             on_change: Called with the number of processes whenever it changes.
         """
         self.count = 1
-        self._folder = folder
+        self.folder = folder
         self._clock = clock
         self._log = log
         self._on_change = on_change
@@ -120,7 +121,7 @@
     def _note_error(self, error: str | None) -> None:
         """Log when counting begins to fail, and when it works again."""
         if error is not None and self._error is None:
-            self._log.event("worker_processes_unknown", folder=self._folder, error=error)
+            self._log.event("worker_processes_unknown", folder=self.folder, error=error)
         elif error is None and self._error is not None:
             self._log.event("worker_processes", count=self.count)
         self._error = error
@@ -129,9 +130,9 @@
         """Create and lock this process's file, unless it has one. Raises OSError."""
         if self._lock_path is not None:
             return
-        os.makedirs(self._folder, mode=0o700, exist_ok=True)
+        os.makedirs(self.folder, mode=0o700, exist_ok=True)
         for attempt in range(MAX_LOCK_ATTEMPTS):
-            names_before = frozenset(os.listdir(self._folder))
+            names_before = frozenset(os.listdir(self.folder))
             # A late process already listens. It may have started to do so before or after the processes whose
             # files it finds here.
             sequence = _next_sequence(names_before) if at_start else None
@@ -147,10 +148,10 @@
 
     def _other_names(self) -> list[str]:
         """The names of all files in the folder except this process's own. Raises OSError."""
-        return [name for name in os.listdir(self._folder) if self._path(name) != self._lock_path]
+        return [name for name in os.listdir(self.folder) if self._path(name) != self._lock_path]
 
     def _path(self, name: str) -> str:
-        return os.path.join(self._folder, name)
+        return os.path.join(self.folder, name)
 
 
 def _next_sequence(names: frozenset[str]) -> int:
--- a/tests/core/test_open_requests.py
+++ b/tests/core/test_open_requests.py
@@ -3,6 +3,7 @@
 import pytest
 from support.network import ManualClock, RecordingResponder, make_request
 
+from flintridge.api import Outcome
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.open_requests import OpenRequest, OpenRequests
 from flintridge.core.request import UpstreamAttempt
@@ -64,7 +65,7 @@
     assert requests.unanswered == 0 and requests.get_unanswered("a1") is None
     for left in (1, 0):
         assert "a1" in requests and budget.reserved == RESERVED_BYTES
-        request.end_attempt(withdrawn=left == 0)
+        request.end_attempt(Outcome.TIMEOUT if left else Outcome.WITHDRAWN)
         requests.remove_if_finished("a1")
     assert (request.in_flight, request.withdrawn) == (0, 1)
     assert "a1" not in requests and budget.reserved == 0
@@ -73,7 +74,7 @@
 def test_request_when_its_attempts_ended_and_it_has_no_response_then_stays_open(requests):
     request = requests.get("a1")
     start_attempt(request)
-    request.end_attempt(withdrawn=False)
+    request.end_attempt(Outcome.TIMEOUT)
     requests.remove_if_finished("a1")
     assert request.state is RequestState.WAITING and requests.get_unanswered("a1") is request
 
@@ -81,7 +82,7 @@
 def test_request_when_responded_a_second_time_or_more_attempts_end_than_started_then_raises(requests):
     request = requests.get("a1")
     with pytest.raises(IllegalTransitionError):
-        request.end_attempt(withdrawn=False)
+        request.end_attempt(Outcome.TIMEOUT)
     requests.mark_responded(request)
     with pytest.raises(IllegalTransitionError):
         requests.mark_responded(request)
