Reset a server's connection if a request on it that was given up is not delivered yet

Cause: the event loop's buffer was checked when a connection is closed, but not the kernel's: close() delivers what the send queue still holds.

Change: if the send queue is not empty (TIOCOUTQ), the connection is closed with SO_LINGER 0, which discards the queue and resets the connection. What the server's machine has received already stays there.

Evidence: the new test, 60,000 bytes to a server with a receive buffer of 4 KiB: all of them were delivered before, a part is now.

--- a/flintridge/runtime/streams.py
+++ b/flintridge/runtime/streams.py
@@ -6,6 +6,7 @@
 import os
 import select
 import socket
+import struct
 import termios
 import weakref
 from array import array
@@ -17,6 +18,7 @@
 # The same while no memory is reserved for what arrives on the connection.
 UNRESERVED_READ_BYTES = 2 * 1024
 DISCARD_READ_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, with no time to deliver
 
 # The poll event for the end of the peer's stream; 0 if the system has none. Without it, the end is detected
 # only after all bytes before it have been read.
@@ -233,6 +235,23 @@
     return count[0]
 
 
+def reset_if_unsent(transport: asyncio.BaseTransport) -> None:
+    """Have the close of a connection reset it if bytes that were written to it have not been delivered.
+
+    Otherwise the kernel delivers them after the close: a server that reads slowly would receive the rest of a
+    request long after the node has given it up.
+    """
+    descriptor = _descriptor(transport)
+    if descriptor < 0:
+        return
+    unsent = array("i", [0])
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(descriptor, termios.TIOCOUTQ, unsent)
+        if unsent[0]:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _descriptor(transport: asyncio.BaseTransport) -> int:
     """The descriptor of a transport's socket; -1 if it has no socket or the socket is closed."""
     sock = transport.get_extra_info("socket")
--- a/flintridge/upstream/connection_pool.py
+++ b/flintridge/upstream/connection_pool.py
@@ -12,7 +12,7 @@
 from flintridge.core.memory_budget import MemoryBudget, unlimited_memory
 from flintridge.errors import FlintridgeError
 from flintridge.runtime.clock import Clock, with_timeout
-from flintridge.runtime.streams import has_pending_input
+from flintridge.runtime.streams import has_pending_input, reset_if_unsent
 from flintridge.telemetry.counters import Counters
 from flintridge.upstream.connection import UpstreamConnection, open_connection
 from flintridge.upstream.idle_timeout import IdleTimeout
@@ -184,6 +184,7 @@
         """Close a connection that is not among the idle ones."""
         self._count(-1)
         connection.reader.on_unexpected_data = None
+        reset_if_unsent(connection.writer.transport)
         if connection.writer.transport.get_write_buffer_size():
             # close() would still write the rest of an abandoned request.
             connection.writer.transport.abort()
--- a/tests/upstream/test_attempt_termination.py
+++ b/tests/upstream/test_attempt_termination.py
@@ -168,6 +168,42 @@
     asyncio.run(test())
 
 
+def test_attempt_when_it_is_given_up_then_the_kernel_delivers_no_more_of_its_request():
+    """Guards against an order that a server receives, and runs, long after the node has given it up."""
+    value_bytes = 60_000
+
+    async def test():
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.setblocking(False)
+        harness = UpstreamHarness(listener.getsockname()[1])
+        connect = harness.dispatcher.pool.connect
+
+        async def connected(*where) -> UpstreamConnection:
+            connection = await connect(*where)
+            sock = connection.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * value_bytes)
+            return connection
+
+        harness.dispatcher.pool.connect = connected
+        await harness.start(value=b"x" * value_bytes)
+        loop = asyncio.get_running_loop()
+        server, _ = await loop.sock_accept(listener)
+        await until(lambda: any(connection.request_written for connection in harness.connections))
+        harness.clock.advance(400)
+        await until(lambda: harness.results)
+        assert harness.results[0].outcome is Outcome.TIMEOUT  # it may have been executed
+        received = 0
+        with contextlib.suppress(ConnectionResetError):
+            while data := await loop.sock_recv(server, 4096):
+                received += len(data)
+        assert 0 < received < value_bytes
+        await harness.dispatcher.close()
+        listener.close()
+
+    asyncio.run(test())
+
+
 def test_attempt_when_reset_is_freed_without_the_garbage_collector(no_collector):
     """A value of up to 4 MiB would stay in memory until the next collection."""
 
