Do not cut off a value that its server is still writing

Cause: time alone decided that a value is given up, whether or not its server makes progress. The limit of 1.85 s, made for values that break (docs/incidents/0002), also hit servers that are merely slow.

Change: a value that has to wait because of requests behind it is passed on at that limit if its server has been sending for 0.5 s and has sent within the last 0.5 s; a server that hangs has not. A value of up to 64 KiB may exceed the attempt's time, up to the client's, on the same condition.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -35,6 +35,9 @@
 LATE_COLLECT_MS = 250.0
 # Memory of a value that is forwarded as it arrives, in the buffers of both connections.
 STREAM_WINDOW_BYTES = 4 * VALUE_READ_BYTES
+# A server that has sent bytes of a value within this time is still writing it: the value is not given up, if
+# it has done so for some time. A server that hangs has sent a part of the value at once, and nothing since.
+PROGRESS_MS = 500.0
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
@@ -91,6 +94,8 @@
         self._result = result
         self._services = services
         self._buffer: ValueBuffer | None = None
+        self._first_received_at = services.clock.now()
+        self._last_received_at = self._first_received_at
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
         self._is_long = self._value.length > LONG_VALUE_BYTES
         self._must_be_whole = False
@@ -121,10 +126,9 @@
         if self._try_reserve():
             assert self._buffer is not None
             if not self._is_long:
-                time_left_ms = self._attempt.deadline - self._services.clock.now()
-                await with_timeout(self._services.clock, time_left_ms, self._collect(self._buffer))
+                await self._collect_short_value(self._buffer)
             elif self._must_be_whole:
-                await self._collect_for(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
+                await self._collect_or_pass_on(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
             else:
                 await self._collect_part(self._buffer)
         return self._result or self._value.result
@@ -154,6 +158,46 @@
         except DeadlineExceededError:
             self._services.counters.add("long_values_withheld_in_part")
 
+    async def _collect_short_value(self, buffer: ValueBuffer) -> None:
+        """Collect the whole value by the attempt's deadline, or as long as the server is still writing it.
+
+        Raises:
+            DeadlineExceededError: The server has stopped writing, or the response is due.
+            OSError: The server's connection broke.
+        """
+        clock = self._services.clock
+        try:
+            await with_timeout(clock, self._attempt.deadline - clock.now(), self._collect(buffer))
+        except DeadlineExceededError:
+            while self._result is None:
+                if not self._is_writing(for_ms=(clock.now() - self._first_received_at) / 2):
+                    raise
+                time_left_ms = min(PROGRESS_MS, self._attempt.response_due - clock.now())
+                await with_timeout(clock, time_left_ms, self._collect_next(buffer))
+
+    def _is_writing(self, for_ms: float) -> bool:
+        """Whether the server has sent bytes for at least `for_ms` milliseconds, and still does."""
+        written_ms = self._last_received_at - self._first_received_at
+        silent_ms = self._services.clock.now() - self._last_received_at
+        return written_ms >= for_ms and silent_ms < PROGRESS_MS
+
+    async def _collect_or_pass_on(self, max_ms: float, buffer: ValueBuffer) -> None:
+        """Collect the whole value within `max_ms`, or a part of it if the server is still writing.
+
+        A value that is cut off is lost, although its server still gives it. So is one that is held back for
+        longer. If it breaks later, the requests behind it are lost with the connection.
+
+        Raises:
+            DeadlineExceededError: The value was not complete in time, and its server has stopped writing.
+            OSError: The server's connection broke.
+        """
+        try:
+            await self._collect_for(max_ms, buffer)
+        except DeadlineExceededError:
+            if not self._is_writing(for_ms=PROGRESS_MS):
+                raise
+            self._services.counters.add("long_values_withheld_in_part")
+
     async def _collect_for(self, max_ms: float, buffer: ValueBuffer) -> None:
         """Collect the whole value within `max_ms` and before the response is due.
 
@@ -167,10 +211,15 @@
 
     async def _collect(self, buffer: ValueBuffer) -> None:
         self._connection.set_read_limit(VALUE_READ_BYTES)
+        self._first_received_at = self._services.clock.now()
         buffer.append(self._value.take_chunks())
         while self._result is None:
-            self._result = await self._connection.receive(self._exchange)
-            buffer.append(self._value.take_chunks())
+            await self._collect_next(buffer)
+
+    async def _collect_next(self, buffer: ValueBuffer) -> None:
+        self._result = await self._connection.receive(self._exchange)
+        self._last_received_at = self._services.clock.now()
+        buffer.append(self._value.take_chunks())
 
     # The response
 
@@ -228,7 +277,7 @@
             self._window_bytes = needed_bytes
             return
         self._buffer = ValueBuffer(budget, self._value.length)
-        await with_timeout(clock, due_at - clock.now(), self._collect(self._buffer))
+        await self._collect_or_pass_on(due_at - clock.now(), self._buffer)
 
     async def _write_value(self, response: StreamedResponse) -> bool:
         """Write what was collected, then the rest as it arrives. Returns whether the value is valid."""
