Withdraw an attempt whose connection came up to another server's address

The connection comes up, and the request goes to the wrong server; a write that must stay in its group may run a second time there.

Cause: the address was looked up before the connection was opened, and the drain's grace, the deadline and the client were checked again when it came up, but not whether the address is still that server's.

Change: an attempt is withdrawn, unwritten, if the server has another address by then or is not listed. Idle connections were already compared by address when they are taken.

--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -18,7 +18,7 @@
 from flintridge.core.memory_budget import MemoryBudget, unlimited_memory
 from flintridge.core.request import UpstreamAttempt
 from flintridge.core.response import AttemptResult, Response, StreamedResponse, StreamedValue
-from flintridge.discovery.endpoint_list import EndpointAddress, EndpointList
+from flintridge.discovery.endpoint_list import EndpointAddress, EndpointList, EndpointNotListedError
 from flintridge.runtime.clock import Clock, DeadlineExceededError, to_ms, with_timeout
 from flintridge.runtime.local_failure import ROUTE_ERRNO, describe_errno, is_local_failure
 from flintridge.telemetry.counters import Counters
@@ -199,6 +199,7 @@
         endpoint = self._endpoints[attempt.server]
         connection = await self._connector.connect(attempt, endpoint.address, self._connect_timeout_ms)
         progress.connection = connection
+        self._check_still_listed(attempt.server, endpoint)
         exchange = self._exchange(attempt, endpoint)
         # Establishing the connection may have taken long, so the attempt's preconditions are checked again.
         # Under load the event loop may also not have processed the client's disconnect yet.
@@ -216,6 +217,21 @@
             await self._deliver_value(attempt, exchange, progress, result)
         self._release_if_reusable(attempt, exchange, progress)
 
+    def _check_still_listed(self, server: str, endpoint: EndpointAddress) -> None:
+        """Check that the address that was connected to is still the server's.
+
+        Guards against sending a request to another server that has come up at the address of one that left.
+
+        Raises:
+            AttemptWithdrawnError: The server has another address by now, or is no longer listed.
+        """
+        try:
+            is_same = self._endpoints[server] == endpoint
+        except EndpointNotListedError:
+            is_same = False
+        if not is_same:
+            raise AttemptWithdrawnError
+
     async def _receive_unreserved_body(
         self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress
     ) -> AttemptResult:
--- a/tests/upstream/test_attempt_termination.py
+++ b/tests/upstream/test_attempt_termination.py
@@ -52,6 +52,31 @@
     play(test)
 
 
+@pytest.mark.parametrize("phase", ["in_service", "terminated"])
+def test_attempt_when_another_server_has_come_up_at_the_address_is_withdrawn_unwritten(
+    play, monkeypatch, phase
+):
+    async def test():
+        async with ScriptedServer(lambda _: VALUE) as server:
+            harness = UpstreamHarness(server.port, monkeypatch=monkeypatch)
+            harness.dispatcher._connect_timeout_ms = 400.0
+            await harness.start()
+            await until(lambda: harness.connects_started == 1)
+            members = [
+                {"id": "s1", "host_port": "127.0.0.1:9", "flavor": "m2", "phase": phase},
+                {"id": "s2", "host_port": f"127.0.0.1:{server.port}", "flavor": "m2", "phase": "in_service"},
+            ]
+            harness.endpoints.apply({"revision": 2, "complete": False, "members": members})
+            harness.allow_connect.set()
+            await until(lambda: harness.results)
+            assert harness.results == [AttemptResult(Outcome.WITHDRAWN)]
+            await turns()
+            assert server.received == []
+            await harness.dispatcher.close()
+
+    play(test)
+
+
 def test_attempt_when_its_connection_comes_up_at_the_limit_is_written(play, monkeypatch):
     async def test():
         async with ScriptedServer(lambda _: VALUE) as server:
