Fetch the whole list if discovery was replaced by a new process at its address

The node asks it for changes after its own, higher revision, takes the empty change for news of the known list, and serves from the old list: work goes to servers that the new list does not have.

Cause: a change was applied to the known list whatever its revision. Only a changed address of discovery (SIGHUP) made the node begin with a full list.

Change: a change with a lower revision than the known list is not applied; the full list is fetched next (log event endpoint_list_replaced, counter endpoint_list_revision_went_back). A new process whose revisions happen to be higher cannot be told apart.

--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -30,6 +30,10 @@
     """Discovery's list, or a change to it, cannot be parsed."""
 
 
+class RevisionWentBackError(MalformedListError):
+    """A change has a lower revision than the list that it should change: it belongs to another list."""
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointAddress:
     """The address of a server, and whether the server is the origin."""
@@ -101,7 +105,7 @@
             date_ms: Unix time of the response's `Date` header in milliseconds, if it has one.
 
         Raises:
-            MalformedListError: The list cannot be parsed; nothing is changed.
+            MalformedListError: The list cannot be parsed, or is a change to another list; nothing is changed.
         """
         try:
             listed = orjson.loads(text)
@@ -123,7 +127,7 @@
             The servers that the list names, and those whose starts are corrected by what it reports.
 
         Raises:
-            MalformedListError: A part of the list cannot be parsed; nothing is changed.
+            MalformedListError: The list cannot be parsed, or is a change to another list; nothing is changed.
         """
         try:
             revision = listed["revision"]
@@ -133,6 +137,8 @@
             entries = [self._parse_entry(entry) for entry in listed["members"]]
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise MalformedListError(f"malformed list: {error!r}") from error
+        if not complete and revision < self.revision:
+            raise RevisionWentBackError(f"change to revision {revision} of a list of {self.revision}")
         if complete:
             self._ready.clear()
             self._listed.clear()
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -8,7 +8,7 @@
 from flintridge.api import EndpointUpdate, Settings, UpdateKind
 from flintridge.config.address import Address
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
-from flintridge.discovery.endpoint_list import EndpointList
+from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
 from flintridge.runtime.clock import Clock, DeadlineExceededError, sleep, to_ms, with_timeout
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
@@ -147,8 +147,7 @@
             while True:
                 started_at = self._clock.now()
                 poll = self._full_list if self._needs_full_list else self._changes
-                self._report(await poll(client))
-                self._needs_full_list = False
+                self._needs_full_list = not self._report_unless_outdated(await poll(client))
                 # Limits the load on discovery if it answers each call at once.
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
@@ -162,6 +161,19 @@
         finally:
             client.close()
 
+    def _report_unless_outdated(self, response: DiscoveryResponse) -> bool:
+        """Report a response; returns False if it is a change to another list than the known one.
+
+        A discovery service that was replaced by a new process at the same address begins its revisions anew.
+        """
+        try:
+            self._report(response)
+        except RevisionWentBackError as error:
+            self._counters.add("endpoint_list_revision_went_back")
+            self._log.event("endpoint_list_replaced", error=str(error))
+            return False
+        return True
+
     def _report(self, response: DiscoveryResponse) -> None:
         update = self._endpoints.apply_json(response.body, response.date_ms)
         self._log_correction()
--- a/tests/discovery/test_watcher.py
+++ b/tests/discovery/test_watcher.py
@@ -61,6 +61,35 @@
     play(test)
 
 
+def test_watch_when_discovery_was_replaced_at_its_address_then_fetches_the_list_of_the_new_one(play):
+    """The revisions of the new process are lower: its changes are no changes to the known list."""
+
+    async def test():
+        clock, updates = ManualClock(), []
+        responses = [
+            response(200, orjson.dumps({"revision": 3, "complete": False, "members": []})),
+            response(200, orjson.dumps({"revision": 3, "complete": True, "members": []})),
+            b"",
+        ]
+        async with ScriptedServer(lambda _: responses.pop(0)) as peer:
+            endpoints = EndpointList((), (), SETTINGS, clock)
+            endpoints.apply({"revision": 41, "complete": True, "members": []})
+            log, counters = log_and_counters()
+            watcher = DiscoveryWatcher(
+                Address("127.0.0.1", peer.port), endpoints, clock, updates.append, log, counters
+            )
+            watcher.watch(True)
+            await until(lambda: clock.advance(10) or updates)
+            assert [(update.kind, update.version) for update in updates] == [(UpdateKind.FULL, 3)]
+            assert counters["endpoint_list_revision_went_back"] == 1
+            await until(lambda: clock.advance(10) or len(peer.received) == 3)
+            targets = [data.split(b" ")[1].partition(b"&")[0] for data in peer.received]
+            assert targets == [b"/api/targets?after=41", b"/api/targets", b"/api/targets?after=3"]
+            await watcher.close()
+
+    play(test)
+
+
 def test_watch_when_moved_then_ends_the_old_call_and_starts_with_the_full_list(play):
     async def test():
         clock, updates = ManualClock(), []
