Log when memory for clients runs short, and count the reasons of evictions and rejections

The event memory stands beside counters on SIGUSR1 and at exit, with the peak. New counters: requests_shed_for_memory, requests_shed_for_count, connections_without_memory, server_connections_without_memory, connections_closed_draining, connections_closed_after_errors.

--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -129,13 +129,15 @@
         if request_id in self.open_requests or (is_guarded and not self.executed_ids.try_begin(request_id)):
             raise IdInUseError(request_id)
         self._counters.add("requests")
-        full = len(self.open_requests) >= self.settings.limits.max_open or not self.has_request_memory
-        if not reserved_bytes and not full:
+        full = len(self.open_requests) >= self.settings.limits.max_open
+        has_memory = self.has_request_memory
+        if not reserved_bytes and has_memory and not full:
             reserved_bytes = bytes_to_reserve(len(request.value or b""))
             if not self.memory_budget.try_reserve(reserved_bytes):
-                full = True
+                has_memory = False
                 reserved_bytes = 0
-        if full:
+        if full or not has_memory:
+            self._counters.add("requests_shed_for_count" if full else "requests_shed_for_memory")
             if is_guarded:
                 self.executed_ids.end(request_id, may_have_been_executed=False)
             self._shed(responder, reserved_bytes)
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -291,6 +291,7 @@
         """Close after the pending responses, because framing is lost or too many commands were bad."""
         self._close_when_responded = True
         await self._pipeline.wait_until_empty()
+        self._owner.counters.add("connections_closed_after_errors")
         self.close()
 
     def _record_activity(self) -> None:
--- a/flintridge/downstream/listener.py
+++ b/flintridge/downstream/listener.py
@@ -143,14 +143,16 @@
 
         A connection that has not sent any command yet has DRAIN_FIRST_COMMAND_TIMEOUT_MS to do so.
         """
-        if self.shutdown.accepts_clients or not connection.idle:
+        if self.shutdown.accepts_clients or not connection.idle or connection.closing:
             return
         now = self.clock.now()
         if not self.shutdown.closes_idle_connections(now):
             return
         if connection.has_sent_command:
+            self.counters.add("connections_closed_draining")
             connection.close()
         elif now - connection.last_used_at >= DRAIN_FIRST_COMMAND_TIMEOUT_MS:
+            self.counters.add("connections_closed_draining")
             connection.evict()
 
     def redirect_new_connections(self, position: int) -> bool:
--- a/flintridge/downstream/open_connections.py
+++ b/flintridge/downstream/open_connections.py
@@ -79,8 +79,12 @@
 
     def ensure_capacity(self) -> bool:
         """Evict a connection if the limit is reached; returns False if none can be evicted."""
-        has_capacity = len(self._open) < self.limit and self.memory.fits(CONNECTION_BYTES)
-        return has_capacity or self.evict_one()
+        if len(self._open) >= self.limit:
+            return self.evict_one()
+        if self.memory.fits(CONNECTION_BYTES):
+            return True
+        self._counters.add("connections_without_memory")
+        return self.evict_one()
 
     def evict_one(self) -> bool:
         """Evict the first connection in the eviction order; returns False if none can be evicted."""
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -17,6 +17,7 @@
 from flintridge.core.executed_ids import REMEMBERED_MS
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.core.memory_budget import MemoryBudget
+from flintridge.core.memory_monitor import MemoryMonitor
 from flintridge.discovery.endpoint_list import EndpointList, configured_endpoints
 from flintridge.discovery.overrides import EndpointOverrides
 from flintridge.discovery.watcher import DiscoveryWatcher, watch_wait_ms
@@ -59,6 +60,7 @@
         membership: Gossip with the other nodes; None if the configuration names no peers.
         leases: Allocations of the fleet-wide limits; None if this node uses an even fraction of each limit.
         replication: Replica of the operators' state; None if this node has no replica.
+        memory_monitor: Logs when the memory for clients runs short.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self._closed = False
         self._worker_processes = self._make_worker_processes(shared_directory)
         self._shared_ids: SharedIds | None = None
+        self.memory_monitor = self._make_memory_monitor()
 
     # Creation of the components
 
@@ -175,6 +178,16 @@
             )
         )
 
+    def _make_memory_monitor(self) -> MemoryMonitor:
+        parts = {
+            "connections": self.downstream.connections.memory,
+            "requests": self.core.request_memory,
+            "written_values": self.core.memory_budget,
+            "server_values": self.dispatcher.value_memory,
+            "server_connections": self.dispatcher.connection_memory,
+        }
+        return MemoryMonitor(self.core.process_memory, parts, self.clock, self.log)
+
     def _make_worker_processes(self, shared_directory: str | None) -> WorkerProcesses | None:
         listen = self.config.listen
         if shared_directory is None or not listen.port:
@@ -375,6 +388,8 @@
         """Log the counters, and the histograms if there are any."""
         self._fleet.publish_counters()
         self.log.event("counters", **self.counters.snapshot())
+        peak_bytes = self.memory_monitor.peak_bytes
+        self.log.event("memory", peak=peak_bytes, **self.memory_monitor.usage())
         histograms = self.counters.histograms()
         if histograms:
             self.log.event("histograms", **histograms)
@@ -384,6 +399,7 @@
         if self._closed:
             return
         self._closed = True
+        self.memory_monitor.close()
         self.downstream.close()
         if self.admin_api is not None:
             self.admin_api.close()
--- a/flintridge/upstream/connection_pool.py
+++ b/flintridge/upstream/connection_pool.py
@@ -148,8 +148,10 @@
             OSError: The connection was refused or failed.
             DeadlineExceededError: The connection was not established in time.
         """
-        has_capacity = self.open_count < self.max_connections and self._memory.fits(CONNECTION_BYTES)
-        if not has_capacity and not self._evict():
+        has_memory = self._memory.fits(CONNECTION_BYTES)
+        if not has_memory:
+            self._counters.add("server_connections_without_memory")
+        if (self.open_count >= self.max_connections or not has_memory) and not self._evict():
             raise ConnectionLimitError
         self._count(+1)
         try:
