Count a request's time from its arrival when it is read in many pieces after a wait

Cause: a request's time counts from when its last byte may have arrived. Bytes that wait in the kernel while a value waits for memory, or commands wait, were recognised only in the read after the pause. Of a request that takes more reads, the last byte counted as new.

Change: InputArrival records after each read up to where the stream had arrived (the reader's and the kernel's bytes, FIONREAD). The last byte of a read is no older than the last record that it lies behind. A stream of which some bytes always wait still advances with each read.

The five older tests of InputArrival say the same with the new arguments.

--- a/flintridge/downstream/command_input.py
+++ b/flintridge/downstream/command_input.py
@@ -9,7 +9,12 @@
 from flintridge.downstream.input_arrival import InputArrival
 from flintridge.downstream.value_memory import ValueMemory
 from flintridge.runtime.clock import Clock
-from flintridge.runtime.streams import READ_MAX_BYTES, UNRESERVED_READ_BYTES, TrackingReader
+from flintridge.runtime.streams import (
+    READ_MAX_BYTES,
+    UNRESERVED_READ_BYTES,
+    TrackingReader,
+    pending_input_bytes,
+)
 
 VALUE_READ_BYTES = 8 * 1024  # read at a time of a value for which memory is reserved
 
@@ -79,7 +84,9 @@
         """
         self.arrival.before_read(self._reader.has_unread, self._transport.is_reading())
         data = await self._reader.read(READ_MAX_BYTES)
-        self.arrival.after_read()
+        unread_bytes = self._reader.received_bytes - self._reader.read_bytes
+        waiting_bytes = unread_bytes + pending_input_bytes(self._transport)
+        self.arrival.after_read(self._reader.read_bytes, waiting_bytes)
         return data
 
     def feed(self, data: bytes, now: float) -> None:
--- a/flintridge/downstream/input_arrival.py
+++ b/flintridge/downstream/input_arrival.py
@@ -1,20 +1,33 @@
 """Estimates when the input of a connection arrived, which may be long before it is read."""
 
+from collections import deque
+from typing import NamedTuple
+
 from flintridge.runtime.clock import Clock
 
+# How many observations are kept. With more, bytes count as older than they may be.
+MAX_OBSERVATIONS = 16
+
+
+class _Observation(NamedTuple):
+    """Bytes of the stream from `position` on arrived after the instant `at`."""
+
+    position: int
+    at: float
+
 
 class InputArrival:
     """A lower bound for the arrival time of a connection's input. Times are in milliseconds of the clock.
 
     Guards against measuring a client's timeout from the processing of its command. While the commands of a
-    connection wait to be processed, the connection is not read, and bytes that its client sends meanwhile
-    wait in the reader and in the kernel.
+    connection wait to be processed, or a value waits for memory, the connection is not read, and bytes that
+    its client has sent wait in the reader and in the kernel. They may be read in many pieces later.
 
     Attributes:
-        arrived_after: No byte of the last read arrived before this instant.
+        arrived_after: The last byte of the last read did not arrive before this instant.
     """
 
-    __slots__ = ("_clock", "_is_late", "_unread_since", "_was_paused", "arrived_after")
+    __slots__ = ("_clock", "_is_polled", "_observations", "_was_drained", "arrived_after")
 
     def __init__(self, clock: Clock, queued_since: float | None = None) -> None:
         """Start with a newly accepted connection.
@@ -26,25 +39,37 @@
         """
         self._clock = clock
         self.arrived_after = clock.earliest_arrival() if queued_since is None else queued_since
-        self._unread_since = self.arrived_after  # all bytes that arrived before this instant have been read
-        self._is_late = queued_since is not None  # the bytes read next may be as old as `_unread_since`
-        self._was_paused = False
+        self._observations = deque([_Observation(0, self.arrived_after)])
+        self._was_drained = queued_since is None  # no bytes waited after the previous read
+        self._is_polled = False  # the event loop reads bytes as soon as they arrive
 
     def before_read(self, has_unread: bool, is_reading: bool) -> None:
         """Record the state in which a read begins.
 
         Args:
             has_unread: Whether bytes wait in the reader.
-            is_reading: Whether the transport reads. If it is paused, bytes may wait in the kernel, and the
-                reader gets them only after this read.
+            is_reading: Whether the transport reads. If it is paused, bytes may wait in the kernel.
         """
-        self._is_late = self._is_late or has_unread or not is_reading
-        self._was_paused = not is_reading
-
-    def after_read(self) -> None:
-        """Update the bounds after a read has returned."""
-        arrival_of_new_input = self._clock.earliest_arrival()
-        self.arrived_after = self._unread_since if self._is_late else arrival_of_new_input
-        self._is_late = self._was_paused
-        if not self._was_paused:
-            self._unread_since = arrival_of_new_input
+        self._is_polled = self._was_drained and is_reading and not has_unread
+
+    def after_read(self, position: int, waiting_bytes: int) -> None:
+        """Update the bounds after a read has returned.
+
+        Args:
+            position: The number of bytes that have been read in all.
+            waiting_bytes: The number of bytes that wait in the reader and in the kernel.
+        """
+        while len(self._observations) > 1 and self._observations[1].position < position:
+            self._observations.popleft()
+        self.arrived_after = self._observations[0].at
+        if self._is_polled:
+            self.arrived_after = max(self.arrived_after, self._clock.earliest_arrival())
+        self._observe(position + waiting_bytes)
+        self._was_drained = not waiting_bytes
+
+    def _observe(self, end: int) -> None:
+        """Record that bytes from the position `end` on have not arrived yet."""
+        if self._observations[-1].position == end:
+            self._observations.pop()
+        if len(self._observations) < MAX_OBSERVATIONS:
+            self._observations.append(_Observation(end, self._clock.now()))
--- a/tests/downstream/test_half_commands.py
+++ b/tests/downstream/test_half_commands.py
@@ -86,6 +86,27 @@
     play(test)
 
 
+def test_value_when_it_waited_for_memory_in_the_kernel_then_its_time_counts_from_its_arrival():
+    """A value that is read in many pieces after the wait was answered up to a second after its time."""
+
+    async def test():
+        length = 150_000
+        command = b"ms key7 %d Oa1 Pc=put,d=900\r\n%b\r\n" % (length, bytes(length))
+        async with DownstreamHarness(memory_bytes=length) as harness:
+            assert harness.core.memory_budget.try_reserve(length)  # on behalf of another connection
+            _, writer = await harness.stream_client(command)
+            await until(lambda: not writer.transport.get_write_buffer_size())
+            arrived_at = harness.clock.now()
+            await until(lambda: harness.core.memory_budget._waiting)
+            harness.clock.advance(MEMORY_WAIT_MS - 50)
+            harness.core.memory_budget.release(length)
+            await until(lambda: harness.request_count)
+            (request,) = harness.core.open_requests
+            assert request.deadline < arrived_at + request.request.timeout_ms
+
+    asyncio.run(test())
+
+
 def test_partial_value_when_it_is_skipped_for_lack_of_memory_then_the_wait_counts(play):
     async def test():
         async with DownstreamHarness(memory_bytes=LENGTH + 1000) as harness:
--- a/tests/downstream/test_input_arrival.py
+++ b/tests/downstream/test_input_arrival.py
@@ -4,6 +4,8 @@
 
 from flintridge.downstream.input_arrival import InputArrival
 
+READ_BYTES = 10
+
 
 class LateClock(ManualClock):
     """A clock whose event loop has been in one iteration for `behind_ms`."""
@@ -14,59 +16,90 @@
         return self.now() - self.behind_ms
 
 
-def read(arrival, has_unread=False, is_reading=True) -> float:
-    arrival.before_read(has_unread, is_reading)
-    arrival.after_read()
-    return arrival.arrived_after
+class Input:
+    """A connection's input, of which each read returns READ_BYTES."""
+
+    def __init__(self, clock, queued_since=None) -> None:
+        self.arrival = InputArrival(clock, queued_since)
+        self.position = 0
+
+    def read(self, has_unread=False, is_reading=True, waiting_bytes=0) -> float:
+        """Read, after which `waiting_bytes` wait; returns the bound."""
+        self.arrival.before_read(has_unread, is_reading)
+        self.position += READ_BYTES
+        self.arrival.after_read(self.position, waiting_bytes)
+        return self.arrival.arrived_after
 
 
 def test_input_when_it_is_read_on_arrival_then_arrived_in_this_iteration():
     clock = LateClock()
-    arrival = InputArrival(clock)
+    connection = Input(clock)
     clock.advance(500.0)
     clock.behind_ms = 20.0
-    assert read(arrival) == clock.now() - 20.0
+    assert connection.read() == clock.now() - 20.0
 
 
 def test_input_when_it_waited_in_the_reader_then_may_have_arrived_since_the_previous_read():
     clock = LateClock()
-    arrival = InputArrival(clock)
+    connection = Input(clock)
     read_at = clock.now()
-    assert read(arrival) == read_at
+    assert connection.read() == read_at
     clock.advance(300.0)
-    assert read(arrival, has_unread=True) == read_at
+    assert connection.read(has_unread=True) == read_at
     clock.advance(300.0)
-    assert read(arrival) == clock.now()
+    assert connection.read() == clock.now()
 
 
 def test_input_when_the_transport_was_paused_then_bytes_in_the_kernel_may_be_as_old():
     clock = LateClock()
-    arrival = InputArrival(clock)
+    connection = Input(clock)
     read_at = clock.now()
-    read(arrival)
+    connection.read()
     clock.advance(300.0)
-    assert read(arrival, has_unread=True, is_reading=False) == read_at
+    assert connection.read(has_unread=True, is_reading=False, waiting_bytes=READ_BYTES) == read_at
     clock.advance(1.0)
-    assert read(arrival) == read_at  # the bytes that waited in the kernel
+    assert connection.read() == read_at  # the bytes that waited in the kernel
     clock.advance(1.0)
-    assert read(arrival) == clock.now()
+    assert connection.read() == clock.now()
 
 
 def test_input_when_it_arrives_continuously_then_its_bound_advances_with_each_read():
     clock = LateClock()
-    arrival = InputArrival(clock)
+    connection = Input(clock)
     for _ in range(5):
         last_read_at = clock.now()
-        read(arrival, has_unread=True)
+        connection.read(has_unread=True)
         clock.advance(100.0)
-    assert read(arrival, has_unread=True) == last_read_at
+    assert connection.read(has_unread=True) == last_read_at
 
 
 def test_input_when_its_connection_waited_for_accept_then_is_as_old_and_the_next_is_new():
     clock = LateClock()
     queued_since = clock.now()
     clock.advance(200.0)
-    arrival = InputArrival(clock, queued_since)
-    assert read(arrival) == queued_since
+    connection = Input(clock, queued_since)
+    assert connection.read() == queued_since
     clock.advance(100.0)
-    assert read(arrival) == clock.now()
+    assert connection.read() == clock.now()
+
+
+def test_input_when_it_waited_and_is_read_in_many_pieces_then_all_of_it_is_as_old():
+    clock = LateClock()
+    connection = Input(clock)
+    read_at = clock.now()
+    connection.read(waiting_bytes=50 * READ_BYTES)
+    clock.advance(1_000.0)
+    for left in reversed(range(50)):
+        assert connection.read(waiting_bytes=left * READ_BYTES) == 10_000.0
+        clock.advance(1.0)
+    assert connection.read() == clock.now() > read_at + 1_000.0
+
+
+def test_input_when_some_always_waits_then_its_bound_follows_its_position():
+    clock = LateClock()
+    connection = Input(clock)
+    for _ in range(40):
+        connection.read(waiting_bytes=10 * READ_BYTES)
+        clock.advance(10.0)
+    # It was beyond the bytes that waited eleven reads ago.
+    assert connection.read(waiting_bytes=10 * READ_BYTES) == clock.now() - 11 * 10.0
