Reject a response of the origin with more than 100 header fields

Change: a response with more than 100 header fields is malformed, as one whose head is over 16 KiB is. It is an error, and the policy may retry it.

Measured: not on a process; the new test has 100 fields (served) and 101 (an error; served before). Calls of the admin API have at most 12 connections and stay as they are.

--- a/flintridge/codec/http/exchange.py
+++ b/flintridge/codec/http/exchange.py
@@ -11,6 +11,7 @@
 
 RESPONSE_START = b"HTTP/1."
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_FIELDS = 100  # many short fields occupy many times their bytes once they are parsed
 BODY_LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -130,6 +131,8 @@
             if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
                 return None
             if isinstance(event, h11.Response):
+                if len(event.headers) > MAX_HEADER_FIELDS:
+                    raise HttpResponseError("response has too many header fields")
                 check_body_framing(event)
                 self._begin_body(event)
             elif isinstance(event, h11.Data):
--- a/tests/codec/test_http_exchange.py
+++ b/tests/codec/test_http_exchange.py
@@ -56,3 +56,11 @@
     assert result.malformed is malformed
     assert result.outcome is (Outcome.ERROR if malformed else Outcome.OK)
     assert exchange.reusable is (not trailing)
+
+
+@pytest.mark.parametrize(("fields", "outcome"), [(98, Outcome.OK), (99, Outcome.ERROR)])
+def test_origin_response_when_it_has_very_many_header_fields_is_malformed(fields, outcome):
+    exchange = OriginExchange(make_request(), "o:1", 100.0)
+    exchange.encode_request()
+    head = b"HTTP/1.1 200 OK\r\nReq-Id: a1\r\nContent-Length: 2\r\n" + b"a:b\r\n" * fields
+    assert exchange.feed(head + b"\r\nok").outcome is outcome
