Let a client that reads its responses have more commands in progress than one

Need: one command at a time while the client's end may be unseen made a client that always has more than 32 KiB of commands waiting 10 times slower at fast servers.

Change: as many commands are in progress as responses were written within the last 50 ms before, and at least one: a client that answers none of those writes with a reset was there 50 ms ago. The kernel is asked for waiting input only if the last read may have left some. Budgets look for waiting reservations only if there are any.

--- a/flintridge/core/memory_budget.py
+++ b/flintridge/core/memory_budget.py
@@ -41,7 +41,9 @@
         self.reserved = 0
         self._clock = clock
         self._parent = parent
+        self._root: MemoryBudget = self if parent is None else parent._root
         self._children: list[MemoryBudget] = []
+        self._waiting_count = 0  # of this budget and of its children
         self._waiting: deque[_Reservation] = deque()
         if parent is not None:
             parent._children.append(self)
@@ -69,7 +71,8 @@
         if not count:
             return
         self._return(count)
-        self._root.grant_waiting()
+        if self._root._waiting_count:
+            self._root.grant_waiting()
 
     def resize(self, total: int) -> None:
         """Change the total; existing reservations stay."""
@@ -85,16 +88,17 @@
     def _can_ever_fit(self, count: int) -> bool:
         return count <= self.total and (self._parent is None or self._parent._can_ever_fit(count))
 
+    def _count_waiting(self, change: int) -> None:
+        self._waiting_count += change
+        if self._parent is not None:
+            self._parent._count_waiting(change)
+
     def _return(self, count: int) -> None:
         self.reserved -= count
         assert self.reserved >= 0, "more bytes were released than reserved"
         if self._parent is not None:
             self._parent._return(count)
 
-    @property
-    def _root(self) -> "MemoryBudget":
-        return self if self._parent is None else self._parent._root
-
     def wait(self, count: int, time_limit: float, decided: Callable[[bool], None]) -> Callable[[], None]:
         """Reserve `count` bytes as soon as they are free, waiting at most `time_limit` milliseconds.
 
@@ -119,6 +123,7 @@
             due = self._clock.now() + time_limit
             reservation.timer = self._clock.call_at(due, self._abandon, reservation)
             self._waiting.append(reservation)
+            self._count_waiting(+1)
         return lambda: self._cancel(reservation)
 
     async def reserve(self, count: int, time_limit: float) -> bool:
@@ -142,6 +147,7 @@
         """Grant the waiting reservations of this budget and of its children that fit now."""
         while self._waiting and self.fits(self._waiting[0].count):
             reservation = self._waiting.popleft()
+            self._count_waiting(-1)
             self.charge(reservation.count)
             reservation.decide(True)
         for child in self._children:
@@ -153,6 +159,7 @@
 
     def _abandon(self, reservation: "_Reservation") -> None:
         self._waiting.remove(reservation)
+        self._count_waiting(-1)
         reservation.decide(False)
         self.grant_waiting()
 
--- a/flintridge/downstream/command_input.py
+++ b/flintridge/downstream/command_input.py
@@ -85,7 +85,7 @@
         self.arrival.before_read(self._reader.has_unread, self._transport.is_reading())
         data = await self._reader.read(READ_MAX_BYTES)
         unread_bytes = self._reader.received_bytes - self._reader.read_bytes
-        waiting_bytes = unread_bytes + pending_input_bytes(self._transport)
+        waiting_bytes = unread_bytes + pending_input_bytes(self._reader, self._transport)
         self.arrival.after_read(self._reader.read_bytes, waiting_bytes)
         return data
 
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -20,6 +20,9 @@
 # With more input than this in the kernel, its receive window may be closed, and the end of the client's
 # stream does not arrive. A response that is written to a client that has left shows it nevertheless.
 MAX_INPUT_BEFORE_UNSEEN_END_BYTES = 32 * 1024
+# How long a response that was written shows that the client is still there: far less than the 0.1 s within
+# which an attempt may still begin after it has left.
+RECENT_RESPONSE_MS = 50.0
 # How many commands of a connection are processed before other connections get a turn.
 COMMANDS_PER_TURN = 16
 IDLE_TIMEOUT_MS = 2_000.0  # a connection with nothing pending is closed after this
@@ -69,6 +72,8 @@
         self._unread_responses = UnreadResponses(owner.core.process_memory)
         self._close_when_responded = False  # reads no more commands, closes after the pending responses
         self._closed = False  # the client has disconnected, or the connection was closed
+        self._last_response_at = self.last_used_at
+        self._recent_responses = 0  # in a series with pauses of RECENT_RESPONSE_MS at most
         self._corked = False  # responses are collected until all commands of a turn are processed
         self._processing = False  # commands are being processed, and more that were read may follow them
         self._reading = ReadingControl(reader.flow)
@@ -261,8 +266,9 @@
     def _may_process_commands(self) -> bool:
         """Whether the connection has neither too many pending nor unread responses, and memory is not short.
 
-        If the client may have left unnoticed, a command is processed only after the response to the one
-        before. Guards against executing the requests of a client that has sent much and left.
+        If the client may have left unnoticed, no more commands are in progress than responses were written
+        just before, and at least one. Guards against executing the requests of a client that has sent much
+        and left.
 
         Checked after each command, not after each read: a single read can contain many commands, and all
         their responses would be retained for a client that reads none of them.
@@ -272,7 +278,11 @@
     def _must_wait_for_responses(self) -> bool:
         if self._pipeline.full or not self._owner.core.has_request_memory:
             return True
-        return pending_input_bytes(self._transport) > MAX_INPUT_BEFORE_UNSEEN_END_BYTES
+        if pending_input_bytes(self._reader, self._transport) <= MAX_INPUT_BEFORE_UNSEEN_END_BYTES:
+            return False
+        if self._owner.clock.now() - self._last_response_at > RECENT_RESPONSE_MS:
+            self._recent_responses = 0
+        return len(self._pipeline) >= max(1, self._recent_responses)
 
     async def _wait_until_commands_may_be_processed(self) -> None:
         while self._pipeline and self._must_wait_for_responses():
@@ -334,12 +344,22 @@
         if not self.closing:
             self._writer.writelines(buffers)
             self._record_activity()
+            self._record_response()
             self._count_unread_responses()
 
+    def _record_response(self) -> None:
+        if self.last_used_at - self._last_response_at > RECENT_RESPONSE_MS:
+            self._recent_responses = 0
+        self._recent_responses += 1
+        self._last_response_at = self.last_used_at
+
     def _count_unread_responses(self) -> None:
-        if not self._closed:
-            held_bytes = self._pipeline.complete_bytes + self._transport.get_write_buffer_size()
-            self._unread_responses.update(held_bytes)
+        if self._closed:
+            return
+        held_bytes = self._transport.get_write_buffer_size()
+        if self._pipeline:
+            held_bytes += self._pipeline.complete_bytes
+        self._unread_responses.update(held_bytes)
 
     async def wait_until_read(self) -> None:
         """Wait until the client has read most of what was written.
--- a/flintridge/downstream/pipeline.py
+++ b/flintridge/downstream/pipeline.py
@@ -142,7 +142,11 @@
     @property
     def complete_bytes(self) -> int:
         """The length of the responses that are complete and wait for earlier ones."""
-        return sum(len(buffer) for pending in self._pending for buffer in pending.buffers or ())
+        count = 0
+        for pending in self._pending:
+            if pending.buffers is not None:
+                count += sum(map(len, pending.buffers))
+        return count
 
     def append(self, pending: PendingResponse) -> None:
         """Add the pending response to the next command."""
--- a/flintridge/runtime/streams.py
+++ b/flintridge/runtime/streams.py
@@ -89,6 +89,7 @@
         on_written: Called when all bytes in the write buffer have been passed to the kernel, after some had
             to wait there. The transport's limits must have been set to `high=0`.
         flow: Pauses the transport; None before the connection is made.
+        kernel_was_drained: Whether the last read of the transport has emptied the kernel's buffer.
         queued_since: The earliest instant at which the first bytes may have arrived while the connection
             waited to be accepted, in milliseconds of the node's clock; None if they arrived later.
     """
@@ -101,6 +102,8 @@
         self.on_end: Callable[[], None] | None = None
         self.on_written: Callable[[], None] | None = None
         self.flow: ReadFlow | None = None
+        self.kernel_was_drained = True
+        self._read_limit = READ_MAX_BYTES
         self.queued_since: float | None = None
 
     def set_transport(self, transport: asyncio.BaseTransport) -> None:
@@ -128,11 +131,13 @@
     def set_read_limit(self, transport: asyncio.BaseTransport, max_bytes: int) -> None:
         """Read at most `max_bytes` at a time, and pause the transport while more are unread."""
         limit_read_size(transport, max_bytes)
+        self._read_limit = max_bytes
         self._limit = max_bytes // 2  # the transport is paused at twice the limit of the base class
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # transports pass bytes
         """Buffer bytes that arrived, and count them."""
         self.received_bytes += len(data)
+        self.kernel_was_drained = len(data) < self._read_limit
         super().feed_data(data)
 
     def feed_eof(self) -> None:
@@ -224,8 +229,13 @@
     return _pending_events(transport, select.POLLIN | PEER_CLOSED_EVENT) != 0
 
 
-def pending_input_bytes(transport: asyncio.BaseTransport) -> int:
-    """How many bytes of a connection's input the kernel has buffered; 0 if that is unknown."""
+def pending_input_bytes(reader: TrackingReader, transport: asyncio.Transport) -> int:
+    """How many bytes of a connection's input the kernel has buffered; 0 if that is unknown.
+
+    The kernel is asked only if it may have any: the transport has not emptied its buffer, or is paused.
+    """
+    if reader.kernel_was_drained and transport.is_reading():
+        return 0
     descriptor = _descriptor(transport)
     if descriptor < 0:
         return 0
