--- /dev/null
+++ b/benchmarks/process_soak.py
@@ -0,0 +1,53 @@
+"""Soaks the node program with seeded runs: disturbed servers, crowds, leaving clients, signals in series.
+
+    python -m benchmarks.process_soak --seeds 0-59 --jobs 5
+
+Prints a line for each seed, with what broke a rule. Exits with 1 if anything did.
+"""
+
+import argparse
+import asyncio
+import concurrent.futures
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
+
+from support.soak import Result, Soak
+
+
+def run(seed: int) -> Result:
+    """Play one seed in this process."""
+    with tempfile.TemporaryDirectory() as folder:
+        os.environ["TMPDIR"] = folder
+        return asyncio.run(Soak(seed, Path(folder)).run())
+
+
+def main() -> int:
+    """Play all seeds; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="0-9", help="the first and the last seed")
+    parser.add_argument("--jobs", type=int, default=4, help="runs at a time")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    broken = requests = rejected = 0
+    with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
+        for seed, result in zip(seeds, pool.map(run, seeds), strict=True):
+            requests += result.requests
+            rejected += result.rejected
+            broken += bool(result.findings)
+            print(f"{seed}: {result.plan}")
+            print(f"    {result.requests} requests, {result.rejected} rejected or failed")
+            print(f"    peak {result.peak_mb:.1f} MB")
+            for finding in result.findings:
+                print(f"    broken: {finding}")
+    print(f"{len(seeds)} seeds, {requests} requests, {rejected} rejected or failed")
+    print(f"{broken} seeds broke a rule")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/processes/test_memory_limit.py
+++ b/tests/processes/test_memory_limit.py
@@ -11,7 +11,7 @@
 DESCRIPTORS = 1_024
 CROWD_SIZE = 500
 OTHER_REQUESTS = 30  # of other clients, one after another, while the crowd is connected
-VALUE_BYTES = {b"kept": 4, b"short": 64 * 1_024, b"long": 300_000}
+VALUE_BYTES = {b"kept": 4, b"kept-1": 4, b"short-1": 64 * 1_024, b"long-1": 300_000}
 
 
 def serve_value(commands: bytes) -> bytes:
--- /dev/null
+++ b/tests/processes/test_soak.py
@@ -0,0 +1,18 @@
+"""Short seeded runs of the soak; the long one is `python -m benchmarks.process_soak`."""
+
+import asyncio
+
+import pytest
+from support.soak import Soak
+
+SEEDS = range(1, 7)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_node_when_processes_end_in_series_beside_a_crowd_and_disturbed_servers_then_keeps_its_rules(
+    tmp_path, monkeypatch, seed
+):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    result = asyncio.run(Soak(seed, tmp_path).run())
+    assert result.findings == []
+    assert result.requests > 0
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -28,9 +28,14 @@
     return b"ms key%d %d " % (number, SHORT_VALUE_BYTES) + b"ab " * 670 + b"\r\n"
 
 
+def partial_lines(number: int) -> bytes:
+    """The beginning of a command line."""
+    return b"mg key%d v Ot%d" % (number, number)
+
+
 def many_short_reads(number: int) -> bytes:
     """More reads than a node may have in progress for one client."""
-    return b"".join(b"mg kept v Op%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(300))
+    return b"".join(b"mg kept-1 v Op%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(300))
 
 
 def many_no_ops(_number: int) -> bytes:
@@ -40,12 +45,12 @@
 
 def reads_of_short_values(number: int) -> bytes:
     """Reads whose responses have 64 KiB each."""
-    return b"".join(b"mg short v Os%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(40))
+    return b"".join(b"mg short-1 v Os%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(40))
 
 
 def reads_of_long_values(number: int) -> bytes:
     """Reads whose responses are long."""
-    return b"".join(b"mg long v Ov%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(4))
+    return b"".join(b"mg long-1 v Ov%d-%d Pc=read,d=2400\r\n" % (number, index) for index in range(4))
 
 
 class _CrowdReader(asyncio.StreamReader):
--- /dev/null
+++ b/tests/support/soak.py
@@ -0,0 +1,190 @@
+"""A soak of the node program: one seeded run with disturbed servers, a crowd, and signals in series."""
+
+import asyncio
+import json
+import random
+import signal
+import socket
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from support import crowd
+from support.network import ScriptedServer
+from support.program import Program
+from support.soak_clients import Client, Judge, leave_early
+from support.soak_servers import DisturbedCache, DisturbedOrigin, Received
+
+CLIENTS = 8
+KILL_AFTER_TERM_S = 0.7 + 3.0  # the earliest: the longest deadline, at most 3 s, and 0.7 s
+CROWDS = (
+    crowd.half_value,
+    crowd.part_of_long_value,
+    crowd.many_short_fields,
+    crowd.many_no_ops,
+    crowd.many_short_reads,
+    crowd.partial_lines,
+    crowd.reads_of_short_values,
+    crowd.reads_of_long_values,
+)
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a seed draws.
+
+    Attributes:
+        memory_mb: The node's memory limit in megabytes.
+        sockets: The node's descriptors.
+        fault_fraction: The fraction of the servers' responses that are disturbed.
+        crowd_size: The number of clients that connect at once; 0 for none.
+        endings: How each process of the node ends, in order.
+    """
+
+    memory_mb: int
+    sockets: int
+    fault_fraction: float
+    crowd_size: int
+    endings: tuple[str, ...]
+
+    @classmethod
+    def draw(cls, rng: random.Random) -> "Plan":
+        """Draw a plan."""
+        return cls(
+            memory_mb=rng.choice([32, 64, 96, 192]),
+            sockets=rng.choice([256, 512, 1_024]),
+            fault_fraction=rng.choice([0.0, 0.1, 0.4]),
+            crowd_size=rng.choice([0, 150, 400]),
+            endings=tuple(rng.choice(["term", "terms", "kill", "upgrade"]) for _ in range(2)),
+        )
+
+
+@dataclass(frozen=True)
+class Result:
+    """The result of a run.
+
+    Attributes:
+        plan: What the seed drew.
+        findings: What broke a rule, one line each.
+        requests: The number of requests that were judged.
+        rejected: How many of them were rejected or failed.
+        peak_mb: The highest memory of any process of the node, in megabytes.
+    """
+
+    plan: Plan
+    findings: list[str]
+    requests: int
+    rejected: int
+    peak_mb: float
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self._rng = random.Random(seed)
+        self._plan = Plan.draw(self._rng)
+        self._folder = folder
+        self._received = Received()
+        self._judge = Judge(self._received)
+        self._peak_mb = 0.0
+        self._process_count = 0
+        with socket.socket() as listening:
+            listening.bind((crowd.HOST, 0))
+            self._port = listening.getsockname()[1]
+
+    async def run(self) -> Result:
+        """Play the run and judge it."""
+        cache = DisturbedCache(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        origin = DisturbedOrigin(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        await cache.start()
+        await origin.start()
+        tasks: list[asyncio.Task[None]] = [asyncio.create_task(self._received.watch_stalls())]
+        async with ScriptedServer(lambda _: b"") as discovery:
+            servers = {"box": cache, "origin": origin}
+            program = await self._start(servers, discovery)
+            try:
+                for _ in range(CLIENTS):
+                    client = Client(self._port, random.Random(self._rng.random()), self._judge)
+                    tasks.append(asyncio.create_task(client.run()))
+                leaving = leave_early(self._port, random.Random(self._rng.random()), self._judge)
+                tasks.append(asyncio.create_task(leaving))
+                for ending in self._plan.endings:
+                    await self._disturb(program)
+                    program = await self._end(ending, program, servers, discovery)
+                await self._disturb(program)
+                self._check_memory(program)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                program.kill()
+                await program.process.wait()
+        cache.close()
+        origin.close()
+        self._judge.close()
+        return Result(
+            self._plan, self._judge.findings, self._judge.requests, self._judge.rejected, self._peak_mb
+        )
+
+    async def _start(self, servers: dict, discovery: ScriptedServer) -> Program:
+        self._process_count += 1
+        folder = self._folder / str(self._process_count)
+        folder.mkdir()
+        program = Program(folder, servers, discovery, self._plan.memory_mb, self._plan.sockets)
+        config = json.loads(program.config.read_text()) | {"listen": f"{crowd.HOST}:{self._port}"}
+        config["settings"]["services"][1]["effect"] = "fragile"
+        program.config.write_text(json.dumps(config))
+        await program.start(max_descriptors=self._plan.sockets)
+        return program
+
+    async def _disturb(self, program: Program) -> None:
+        """Send signals that end nothing, in series, beside a crowd if there is one."""
+        await asyncio.sleep(self._rng.uniform(0.3, 1.0))
+        for _ in range(self._rng.randrange(4)):
+            program.process.send_signal(self._rng.choice([signal.SIGHUP, signal.SIGUSR1]))
+        if self._plan.crowd_size:
+            clients = crowd.Crowd(self._port, self._plan.crowd_size, self._rng.choice(CROWDS))
+            try:
+                async with clients:
+                    for _ in range(5):
+                        await asyncio.sleep(self._rng.uniform(0.1, 0.4))
+                        await clients.read_some()
+            except OSError:
+                pass  # the node refuses or resets a part of the crowd
+        await asyncio.sleep(self._rng.uniform(0.3, 1.0))
+
+    async def _end(self, ending: str, program: Program, servers: dict, discovery: ScriptedServer) -> Program:
+        """End a process as the plan says; returns its successor."""
+        self._check_memory(program)
+        process = program.process
+        if ending == "kill":
+            self._judge.killed_at = time.monotonic()
+            process.kill()
+            await process.wait()
+            self._judge.killed_at = time.monotonic()  # until then the kernel accepted connections for it
+            return await self._start(servers, discovery)
+        successor = None
+        if ending == "upgrade":
+            successor = await self._start(servers, discovery)
+        for _ in range(1 if ending == "term" else 3):
+            process.terminate()
+            await asyncio.sleep(0.05)
+        try:
+            await asyncio.wait_for(process.wait(), KILL_AFTER_TERM_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        else:
+            if process.returncode:
+                self._judge.findings.append(f"exit code {process.returncode} after SIGTERM")
+        return successor or await self._start(servers, discovery)
+
+    def _check_memory(self, program: Program) -> None:
+        if program.process.returncode is not None:
+            self._judge.findings.append(f"the process ended by itself with {program.process.returncode}")
+            return
+        peak_mb = program.peak_memory_mb()
+        self._peak_mb = max(self._peak_mb, peak_mb)
+        if peak_mb > self._plan.memory_mb:
+            self._judge.findings.append(f"{peak_mb:.1f} MB of {self._plan.memory_mb} MB")
