Keep a closing connection until its client has read its responses, and read 32 KiB at most

A connection that is being closed came first in the order of eviction, also while responses wait in its write buffer: beyond four of them they were aborted, and clients that read slowly lost responses that were written. And a connection that is rejected, or one of the admin API, read 256 KiB at a time, as asyncio does by default, which is in no budget.

Change: a closing connection with unread responses is not evicted; it still ends after 5 s without progress. Every tracked stream reads 32 KiB at a time at most, also before its owner sets a limit.

--- a/flintridge/downstream/eviction.py
+++ b/flintridge/downstream/eviction.py
@@ -74,7 +74,8 @@
     def first_evictable(self) -> ConnectionT | None:
         """Return the connection to evict; None if each of them has a command or a response pending."""
         for connection in self._closing:
-            return connection
+            if not connection.has_unread_responses:
+                return connection
         for connection in self._requested:
             if connection.idle and _is_evictable(connection):
                 return connection
--- a/flintridge/runtime/streams.py
+++ b/flintridge/runtime/streams.py
@@ -109,6 +109,7 @@
     def set_transport(self, transport: asyncio.BaseTransport) -> None:
         """Set the transport, which the reader and the owner of the connection may both pause."""
         assert isinstance(transport, asyncio.Transport)
+        limit_read_size(transport)
         self.flow = ReadFlow(transport)
         super().set_transport(self.flow)  # type: ignore[arg-type]  # it is used to pause and resume only
 
