Process few commands of each connection at once, and the others in turns

Cause: each connection processed up to 16 commands in each iteration of the event loop. One iteration for 400 connections took as long as clients wait; timers, and with them the final answers that are due, run once in an iteration.

Change: two commands of a read are processed at once. For more, connections wait for a turn of 16 commands; two get one in each iteration (CommandTurns).

The new test, 60 connections with 500 commands each and one with one command, fails if 16 are processed at once.

--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -23,7 +23,8 @@
 # How long a response that was written shows that the client is still there: far less than the 0.1 s within
 # which an attempt may still begin after it has left.
 RECENT_RESPONSE_MS = 50.0
-# How many commands of a connection are processed before other connections get a turn.
+# How many commands of one read are processed at once, and how many in each turn after that.
+FIRST_COMMANDS = 2
 COMMANDS_PER_TURN = 16
 IDLE_TIMEOUT_MS = 2_000.0  # a connection with nothing pending is closed after this
 
@@ -229,7 +230,7 @@
 
     async def _process_commands(self) -> bool:
         """Process commands in order; returns False if the connection has to close after the responses."""
-        processed = 0
+        commands_left = FIRST_COMMANDS
         # Commands that can't be responded to are not processed: after a disconnect or the start of a close.
         while not self._closed and not self._orderly_close.started:
             command = self._input.next_command(self.last_used_at)
@@ -244,10 +245,11 @@
                 if not self._executor.execute(command, self):
                     self._uncork()
                     return False
-            processed += 1
-            if processed % COMMANDS_PER_TURN == 0:
+            commands_left -= 1
+            if not commands_left:
                 self._uncork()
-                await asyncio.sleep(0)
+                await self._owner.turns.wait()
+                commands_left = COMMANDS_PER_TURN
             if not self._may_process_commands():
                 self._uncork()
                 await self._wait_until_commands_may_be_processed()
--- a/flintridge/downstream/connection_owner.py
+++ b/flintridge/downstream/connection_owner.py
@@ -7,6 +7,7 @@
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.request_parser import RequestParser
 from flintridge.downstream.command_executor import ExecutorOwner
+from flintridge.downstream.command_turns import CommandTurns
 from flintridge.downstream.eviction import ConnectionT, EvictionOrder
 from flintridge.runtime.clock import Clock
 
@@ -20,6 +21,7 @@
         eviction_order: The order in which connections are evicted.
         empty_parser: A shared parser for connections that read no more commands.
         request_parser: The parser of requests, which all connections share.
+        turns: The turns of connections that have many commands.
     """
 
     settings: Settings
@@ -27,6 +29,7 @@
     eviction_order: EvictionOrder[ConnectionT]
     empty_parser: CommandParser
     request_parser: RequestParser
+    turns: CommandTurns
 
     @property
     def reading_stopped(self) -> bool:
--- a/flintridge/downstream/listener.py
+++ b/flintridge/downstream/listener.py
@@ -9,6 +9,7 @@
 from flintridge.codec.memcache.request_parser import RequestParser
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.discovery.endpoint_list import EndpointList
+from flintridge.downstream.command_turns import CommandTurns
 from flintridge.downstream.connection import ClientConnection
 from flintridge.downstream.listening_service import ListeningService
 from flintridge.downstream.open_connections import OpenConnections
@@ -35,6 +36,7 @@
         eviction_order: The order in which connections are evicted.
         empty_parser: A shared parser for connections that read no more commands.
         request_parser: The parser of requests, which all connections share.
+        turns: The turns of connections that have many commands.
         is_ready: A further condition of readiness; until it returns True, `mn` gets an error.
     """
 
@@ -69,6 +71,7 @@
         self.connections = OpenConnections(connection_limit, core.process_memory, clock, counters)
         self.eviction_order = self.connections.eviction_order
         self.request_parser = RequestParser(settings)
+        self.turns = CommandTurns()
         self.empty_parser = CommandParser(settings, self.request_parser)
         self.is_ready: Callable[[], bool] = lambda: True
         self._endpoints = endpoints
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -11,6 +11,7 @@
 from flintridge.downstream.command_executor import MAX_BAD_COMMANDS
 from flintridge.downstream.command_timer import COMMAND_TIMEOUT_MS
 from flintridge.downstream.connection import (
+    COMMANDS_PER_TURN,
     IDLE_TIMEOUT_MS,
 )
 from flintridge.downstream.lingering_close import (
@@ -302,3 +303,21 @@
             assert 0 < answered < commands // 10
 
     asyncio.run(test())
+
+
+def test_client_when_many_others_send_many_commands_then_is_answered_before_each_had_a_turn():
+    crowd_size = 60
+
+    async def test():
+        async with DownstreamHarness(connection_limit=2 * crowd_size) as harness:
+            crowd = [await harness.stream_client() for _ in range(crowd_size)]
+            other_reader, other_writer = await harness.stream_client()
+            await until(lambda: harness.downstream.connection_count == crowd_size + 1)
+            for _, writer in crowd:
+                writer.write(b"mn\r\n" * 500)
+            other_writer.write(b"mn\r\n")
+            assert await other_reader.readline() == NO_OP_RESPONSE
+            answered = sum(len(reader._buffer) // len(NO_OP_RESPONSE) for reader, _ in crowd)
+            assert 0 < answered < crowd_size * COMMANDS_PER_TURN
+
+    asyncio.run(test())
