Move the limit of unseen clients and the sharing of ids to modules of their own

ClientPresence decides how many commands of a client that may have left unseen are in progress; IdSharing begins and ends the claims on ids as the number of the node's processes changes.

--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -6,6 +6,7 @@
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.commands import ValueAnnounced
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
+from flintridge.downstream.client_presence import ClientPresence
 from flintridge.downstream.command_executor import CommandExecutor
 from flintridge.downstream.command_input import CommandInput
 from flintridge.downstream.connection_owner import ConnectionOwner
@@ -15,14 +16,8 @@
 from flintridge.downstream.reading_control import ReadingControl
 from flintridge.downstream.unread_responses import UnreadResponses
 from flintridge.runtime.clock import DeadlineExceededError
-from flintridge.runtime.streams import TrackingReader, peer_has_closed, pending_input_bytes
-
-# With more input than this in the kernel, its receive window may be closed, and the end of the client's
-# stream does not arrive. A response that is written to a client that has left shows it nevertheless.
-MAX_INPUT_BEFORE_UNSEEN_END_BYTES = 32 * 1024
-# How long a response that was written shows that the client is still there: far less than the 0.1 s within
-# which an attempt may still begin after it has left.
-RECENT_RESPONSE_MS = 50.0
+from flintridge.runtime.streams import TrackingReader, peer_has_closed
+
 # How many commands of one read are processed at once, and how many in each turn after that.
 FIRST_COMMANDS = 2
 COMMANDS_PER_TURN = 16
@@ -73,8 +68,7 @@
         self._unread_responses = UnreadResponses(owner.core.process_memory)
         self._close_when_responded = False  # reads no more commands, closes after the pending responses
         self._closed = False  # the client has disconnected, or the connection was closed
-        self._last_response_at = self.last_used_at
-        self._recent_responses = 0  # in a series with pauses of RECENT_RESPONSE_MS at most
+        self._presence = ClientPresence(reader, self._transport, self.last_used_at)
         self._corked = False  # responses are collected until all commands of a turn are processed
         self._processing = False  # commands are being processed, and more that were read may follow them
         self._reading = ReadingControl(reader.flow)
@@ -280,11 +274,7 @@
     def _must_wait_for_responses(self) -> bool:
         if self._pipeline.full or not self._owner.core.has_request_memory:
             return True
-        if pending_input_bytes(self._reader, self._transport) <= MAX_INPUT_BEFORE_UNSEEN_END_BYTES:
-            return False
-        if self._owner.clock.now() - self._last_response_at > RECENT_RESPONSE_MS:
-            self._recent_responses = 0
-        return len(self._pipeline) >= max(1, self._recent_responses)
+        return not self._presence.allows_command(len(self._pipeline), self._owner.clock.now())
 
     async def _wait_until_commands_may_be_processed(self) -> None:
         while self._pipeline and self._must_wait_for_responses():
@@ -346,15 +336,9 @@
         if not self.closing:
             self._writer.writelines(buffers)
             self._record_activity()
-            self._record_response()
+            self._presence.record_response(self.last_used_at)
             self._count_unread_responses()
 
-    def _record_response(self) -> None:
-        if self.last_used_at - self._last_response_at > RECENT_RESPONSE_MS:
-            self._recent_responses = 0
-        self._recent_responses += 1
-        self._last_response_at = self.last_used_at
-
     def _count_unread_responses(self) -> None:
         if self._closed:
             return
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -14,7 +14,7 @@
 from flintridge.api import DiscoveryMode
 from flintridge.config.node_config import NodeConfig
 from flintridge.core.drivers import Policy
-from flintridge.core.executed_ids import REMEMBERED_MS
+from flintridge.core.id_sharing import IdSharing
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.memory_monitor import MemoryMonitor
@@ -25,9 +25,8 @@
 from flintridge.fleet import Fleet, FleetContext
 from flintridge.policy.balancer import Balancer
 from flintridge.reload import Reloaded, plan_reload, process_limits
-from flintridge.runtime.clock import Clock, sleep
-from flintridge.runtime.shared_ids import SharedIds
-from flintridge.runtime.worker_processes import COUNT_INTERVAL_MS, WorkerProcesses
+from flintridge.runtime.clock import Clock
+from flintridge.runtime.worker_processes import WorkerProcesses
 from flintridge.shutdown import GracefulShutdown, ServiceState, ShutdownTimes
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
@@ -38,10 +37,6 @@
     from flintridge.downstream.admin_api import AdminApi
 
 
-# How long after the next count of the other processes a new process begins to listen.
-ID_SHARING_MARGIN_MS = 50.0
-
-
 class Node:
     """A node in the running event loop.
 
@@ -110,7 +105,10 @@
         self.downstream.is_ready = self._is_ready
         self._closed = False
         self._worker_processes = self._make_worker_processes(shared_directory)
-        self._shared_ids: SharedIds | None = None
+        self._id_sharing: IdSharing | None = None
+        if self._worker_processes is not None:
+            ids = self.core.executed_ids
+            self._id_sharing = IdSharing(self._worker_processes, ids, self.clock, self.log)
         self.memory_monitor = self._make_memory_monitor()
 
     # Creation of the components
@@ -210,7 +208,9 @@
         await self._start_admin_api()
         await self._fleet.start_membership()
         if self._worker_processes is not None:
-            await self._join_worker_processes(self._worker_processes)
+            self._worker_processes.start()
+        if self._id_sharing is not None:
+            await self._id_sharing.wait_for_others()
         self._fleet.start()
         self._start_discovery()
         listen = self.config.listen
@@ -218,34 +218,10 @@
         self.log.event("serving", host=listen.host, port=port, members=len(self._configured_list.endpoints))
         return port
 
-    async def _join_worker_processes(self, processes: WorkerProcesses) -> None:
-        """Count the node's processes; if there are others, give them time to share the ids of their requests.
-
-        Guards against executing a request twice that another process has open.
-        """
-        processes.start()
-        if processes.count > 1:
-            await sleep(self.clock, COUNT_INTERVAL_MS + ID_SHARING_MARGIN_MS)
-
     def _process_count_changed(self, count: int) -> None:
         self._apply_limits()
-        assert self._worker_processes is not None
-        if self._shared_ids is None:
-            self._shared_ids = SharedIds(self._worker_processes.folder, self.log)
-        ids = self.core.executed_ids
-        if count == 1:  # requests of the processes that have ended may still be sent again
-            self.clock.call_at(self.clock.now() + REMEMBERED_MS, self._stop_sharing_ids)
-        elif ids.claims is None:
-            self._shared_ids.open()
-            for request_id in ids:
-                self._shared_ids.claim(request_id)
-            ids.claims = self._shared_ids
-
-    def _stop_sharing_ids(self) -> None:
-        alone = self._worker_processes is not None and self._worker_processes.count == 1
-        if self._shared_ids is not None and alone and not self._closed:
-            self.core.executed_ids.claims = None
-            self._shared_ids.remove_all()
+        assert self._id_sharing is not None
+        self._id_sharing.process_count_changed(count)
 
     async def _start_admin_api(self) -> None:
         address = self.config.console
@@ -405,6 +381,8 @@
             self.admin_api.close()
         if self._worker_processes is not None:
             self._worker_processes.close()
+        if self._id_sharing is not None:
+            self._id_sharing.close()
         await self._fleet.close()
         await self.discovery_watcher.close()
         await self.dispatcher.close()
