--- a/flintridge/config/node_config.py
+++ b/flintridge/config/node_config.py
@@ -161,8 +161,8 @@
     def process_memory_bytes(self, process_count: int = 1) -> int:
         """Memory for everything that one of the node's processes holds for its clients.
 
-        Enough for one value of the maximum size, and never more than the node's memory beyond what its
-        processes use before they have clients.
+        A fraction of the memory beyond what its processes use before they have clients, but at least enough
+        for one value of the maximum size.
 
         Args:
             process_count: The number of processes that share the node's memory.
