Count the deliveries of values, and keep collected values in exact memory

Cause: a request ends, and gives its 8 KiB back, once its long value begins to be forwarded, while the task that forwards it goes on for as long as the client reads. And a collected value is kept in bytearrays, which occupy up to an eighth more than their length.

Change: a delivery is charged 8 KiB until it ends; full segments are kept as bytes.

--- a/flintridge/config/node_config.py
+++ b/flintridge/config/node_config.py
@@ -22,12 +22,12 @@
 # taking sockets from active ones.
 CLIENT_SOCKETS_FRACTION = 0.6
 MAX_VALUE_MB = 4.0
-MIN_CONNECTION_MEMORY_MB = 0.5  # for connections and requests beside a value of the maximum size
+MIN_CONNECTION_MEMORY_MB = 0.25  # for connections and requests beside a value of the maximum size
 BASE_MEMORY_MB = 24.0  # memory that a node uses with no request in flight
 # What a process uses at most before it has clients, and the fraction of the rest that stays free for what is
 # not counted: the allocator's overhead, the log, the garbage of the last requests.
 IDLE_MEMORY_MB = 26.0
-CLIENT_MEMORY_FRACTION = 3 / 4
+CLIENT_MEMORY_FRACTION = 0.7
 BYTES_PER_MB = 1024 * 1024
 
 
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -124,7 +124,7 @@
         self._counters = counters
         self._start_stream = start_stream
         self.value_memory = MemoryBudget(value_memory_bytes, clock, process_memory)
-        self._delivery_services = DeliveryServices(clock, self.value_memory, log, counters)
+        self._delivery_services = DeliveryServices(clock, self.value_memory, process_memory, log, counters)
         self._tasks: dict[asyncio.Task[None], None] = {}  # an ordered set
 
     def start(self, attempt: UpstreamAttempt) -> None:
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -25,6 +25,8 @@
 from flintridge.upstream.connection import UpstreamConnection
 from flintridge.upstream.value_buffer import ValueBuffer
 
+# What a delivery uses beside the value: its task and the state of its exchange. The request may have ended.
+DELIVERY_BYTES = 8 * 1024
 # How long a value is withheld while nothing behind it was read: if it breaks within this time, the request
 # can be retried. Clients measure the time of a long value's first bytes.
 MAX_HOLD_MS = 20.0
@@ -49,12 +51,14 @@
     Attributes:
         clock: The node's clock.
         memory_budget: Memory for the values that are collected.
+        process_memory: Memory for everything that the process holds for its clients.
         log: The node's log.
         counters: The node's counters.
     """
 
     clock: Clock
     memory_budget: MemoryBudget
+    process_memory: MemoryBudget
     log: EventLog
     counters: Counters
 
@@ -101,6 +105,7 @@
         self._must_be_whole = False
 
     def __enter__(self) -> "LongValueDelivery":
+        self._services.process_memory.charge(DELIVERY_BYTES)
         return self
 
     def __exit__(
@@ -109,6 +114,7 @@
         if self._buffer is not None:
             self._buffer.clear()
         self._services.memory_budget.release(self._window_bytes)
+        self._services.process_memory.release(DELIVERY_BYTES)
 
     # Before the response begins
 
--- a/flintridge/upstream/value_buffer.py
+++ b/flintridge/upstream/value_buffer.py
@@ -26,7 +26,7 @@
         """
         self._budget = budget
         self._reserved_bytes = reserved_bytes
-        self._segments: deque[bytearray] = deque()
+        self._segments: deque[bytes | bytearray] = deque()
 
     def __enter__(self) -> "ValueBuffer":
         return self
@@ -39,11 +39,17 @@
     def append(self, chunks: list[bytes]) -> None:
         """Append the next bytes of the value."""
         for chunk in chunks:
-            if not self._segments or len(self._segments[-1]) >= SEGMENT_BYTES:
-                self._segments.append(bytearray())
-            self._segments[-1] += chunk
-
-    def take_segment(self) -> bytearray | None:
+            last = self._segments[-1] if self._segments else b""
+            if isinstance(last, bytearray):
+                last += chunk
+                if len(last) >= SEGMENT_BYTES:
+                    self._segments[-1] = bytes(
+                        last
+                    )  # a bytearray that has grown occupies more than its length
+            else:
+                self._segments.append(chunk if len(chunk) >= SEGMENT_BYTES else bytearray(chunk))
+
+    def take_segment(self) -> bytes | bytearray | None:
         """Remove and return the next bytes, and release their memory; None if the buffer is empty."""
         if not self._segments:
             return None
