Let a request wait for a permit as long as its client can still be answered in time

Seen by callers: a request without a permit was rejected after 0.45 of its client's time, or at the end of the latency objective of its class where late answers count nothing, although an answer could still have come in time; one that was attempted before could wait longer than one that was not. Cause: AdmissionQueue.latest_start. The upper bound of the mean latency was half the objective.

Change: a request waits until the rest of its client's time is what the attempts that are left are likely to take: one here, and one at the origin for a read that may miss. An attempt is likely to take the mean of its class and four mean deviations (RFC 6298), or its own expected work, but counts up to its time budget only: the client's time divided by the attempts that the request may need, each with a retry (`TimeBudget`). With a permit a request is sent if this attempt can be in time. Attempted before or not makes no difference.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -1,4 +1,8 @@
-"""Admission queues: requests that wait for a permit of a concurrency limiter, ordered by priority."""
+"""Admission queues: requests that wait for a permit of a concurrency limiter, ordered by priority.
+
+A request waits for as long as its client can still be answered in time, whether it was attempted before or
+not.
+"""
 
 import heapq
 from collections.abc import Callable
@@ -8,8 +12,6 @@
 from flintridge.policy.endpoint_state import Server
 from flintridge.policy.open_request import OpenRequest, Upstream
 
-# The fraction of its client's timeout that a request may wait for its first attempt.
-MAX_FIRST_WAIT_FRACTION = 0.45
 MAX_SKIPPED = 4  # after this many requests without a free server, those behind them are not tried
 MAX_ABANDONED = 32  # abandoned entries; if there are more and they exceed half of the queue, they are removed
 MIN_LATENCY_NS = NS_PER_MS  # lower bound for the latency of a class in the computation of priorities
@@ -38,11 +40,15 @@
     Attributes:
         upstream: Where the attempts at these requests will be sent.
         limiter: The limiter that grants the permits.
+        next_limiter: The limiter of the attempt that follows a miss; None if no other attempt follows.
     """
 
-    def __init__(self, upstream: Upstream, limiter: ConcurrencyLimiter) -> None:
+    def __init__(
+        self, upstream: Upstream, limiter: ConcurrencyLimiter, next_limiter: ConcurrencyLimiter | None = None
+    ) -> None:
         self.upstream = upstream
         self.limiter = limiter
+        self.next_limiter = next_limiter
         # A heap of (-priority, -order, request), so that the highest priority and the newest come first.
         self._entries: list[tuple[float, int, OpenRequest]] = []
         self._abandoned = 0  # number of entries whose requests are finished
@@ -78,7 +84,7 @@
             request = entry[2]
             if request.queued_for is not self.upstream:
                 continue
-            if self.latest_start(request) < now:
+            if now + self._likely_attempt_ns(self.limiter, request) > request.event.deadline:
                 reject(request)
             elif not try_send(request):
                 skipped.append(entry)
@@ -96,17 +102,16 @@
             self._abandoned = 0
 
     def latest_start(self, request: OpenRequest) -> int:
-        """Return the latest instant at which a request can be sent to be served in time, in nanoseconds."""
-        request_class = request.request_class
-        mean_latency_ns = min(self.limiter.mean_latency_ns(request), request.slow_after_ns)
-        is_late_useful = request_class.late_weight_fraction > 0
-        useful_ns = request_class.deadline_ns if is_late_useful else request_class.latency_objective_ns
-        latest = min(request.first_arrived_at + useful_ns, request.event.deadline) - int(mean_latency_ns)
-        if request.is_unsent:
-            client_timeout_ns = request.event.deadline - request.arrived_at
-            wait_ns = max(0.0, MAX_FIRST_WAIT_FRACTION * client_timeout_ns - mean_latency_ns)
-            latest = min(latest, request.arrived_at + int(wait_ns))
-        return latest
+        """Return until when a request may wait for its client to be answered in time, in nanoseconds.
+
+        The client's time also has to suffice for an attempt at the origin, unless a server has just stored
+        the value.
+        """
+        needed_ns = self._likely_attempt_ns(self.limiter, request)
+        if self.next_limiter is not None and request.preferred_server is None:
+            needed_ns += self._likely_attempt_ns(self.next_limiter, request)
+        client_end = request.first_arrived_at + request.request_class.deadline_ns
+        return min(client_end, request.event.deadline) - int(needed_ns)
 
     def expected_wait_ns(self, request: OpenRequest, now: int) -> float:
         """Estimate how long a new request would have to wait in the queue, in nanoseconds."""
@@ -116,6 +121,18 @@
         queue_ns = mean_latency_ns * ahead / max(limiter.limit, limiter.floor)
         return max(queue_ns, limiter.paused_until - now)
 
+    @staticmethod
+    def _likely_attempt_ns(limiter: ConcurrencyLimiter, request: OpenRequest) -> float:
+        """Return a duration that an attempt rarely exceeds, in nanoseconds; at most its time budget.
+
+        With the budget as the upper bound, requests of a class that was slow may still wait for the limiter
+        to make it faster. It is also assumed if no request of the class was served yet.
+        """
+        likely_ns = limiter.likely_latency_ns(request)
+        if likely_ns is None:
+            return request.attempt_budget_ns
+        return min(max(likely_ns, request.event.work_ns or 0), request.attempt_budget_ns)
+
     def _next_wake_up(self, now: int) -> int | None:
         """Return the end of the limiter's pause if requests wait for nothing else, or None."""
         limiter = self.limiter
@@ -143,8 +160,10 @@
     """
 
     def __init__(self, origin_kind: int | None) -> None:
-        self.caches = AdmissionQueue(Upstream.CACHES, ConcurrencyLimiter(CACHES_LIMIT))
-        self.origin = AdmissionQueue(Upstream.ORIGIN, ConcurrencyLimiter(ORIGIN_LIMIT))
+        origin_limiter = ConcurrencyLimiter(ORIGIN_LIMIT)
+        after_a_miss = None if origin_kind is None else origin_limiter
+        self.caches = AdmissionQueue(Upstream.CACHES, ConcurrencyLimiter(CACHES_LIMIT), after_a_miss)
+        self.origin = AdmissionQueue(Upstream.ORIGIN, origin_limiter)
         self._origin_kind = origin_kind
 
     def select(self, to_origin: bool) -> AdmissionQueue:
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -98,7 +98,9 @@
     def _on_request(self, event: api.RequestReceived) -> None:
         if event.id in self.open_requests:
             return
-        request = OpenRequest.received(event, self.settings.classes[event.class_index], self.now)
+        request_class = self.settings.classes[event.class_index]
+        attempt_budget_ns = self.time_budget.attempt_ns(event.deadline - self.now, event.write)
+        request = OpenRequest.received(event, request_class, attempt_budget_ns, self.now)
         self.open_requests[event.id] = request
         self.slow_start.record_request(request.work)
         rejection = self.rejected.pop_match(event, self.now)
--- a/flintridge/policy/concurrency_limiter.py
+++ b/flintridge/policy/concurrency_limiter.py
@@ -15,7 +15,10 @@
 # With less of the limit in use, a good round does not show that a higher limit would be good too.
 MIN_USED_FRACTION = 0.7
 INCREASE_FRACTION = 0.05  # of the limit, after a good round
-LATENCY_SMOOTHING = 0.05  # the weight of one response in the exponential moving average
+LATENCY_SMOOTHING = 0.05  # the weight of one response in the exponential moving averages
+# A response takes longer than the mean plus this many mean deviations only rarely (RFC 6298).
+LIKELY_DEVIATIONS = 4.0
+INITIAL_DEVIATION_FRACTION = 0.5  # of the first latency of a class (RFC 6298)
 INITIAL_LIMIT_PER_SERVER = 2.0
 MIN_FLOOR = 0.1  # attempts; enough to notice a recovery
 MAX_MIN_INCREASE = 1.0  # attempts; upper bound of `ConcurrencyLimiter.min_increase`
@@ -52,6 +55,7 @@
         round_attempts: The number of attempts that ended in this round.
         round_slow: The number of slow attempts among them.
         latencies_ns: The mean latency of served requests in nanoseconds, by request class.
+        deviations_ns: The mean deviation from it in nanoseconds, by request class.
     """
 
     limit: float
@@ -67,6 +71,7 @@
     round_attempts: int = 0
     round_slow: int = 0
     latencies_ns: dict[int, float] = field(default_factory=dict)
+    deviations_ns: dict[int, float] = field(default_factory=dict)
 
     def set_floor(self, attempts: float) -> None:
         """Set the floor to this node's share of the floors of all nodes, in attempts."""
@@ -126,11 +131,25 @@
         """Return the mean latency of a request's class, or `unknown_ns` if no request of it was served."""
         return self.latencies_ns.get(request.event.class_index, unknown_ns)
 
+    def likely_latency_ns(self, request: OpenRequest) -> float | None:
+        """Return a latency that requests of this class rarely exceed, or None if none was served."""
+        mean_ns = self.latencies_ns.get(request.event.class_index)
+        if mean_ns is None:
+            return None
+        return mean_ns + LIKELY_DEVIATIONS * self.deviations_ns.get(request.event.class_index, 0.0)
+
     def record_latency(self, request: OpenRequest, latency_ns: int) -> None:
         """Record the latency of a request that was served."""
-        mean_latency_ns = self.mean_latency_ns(request, float(latency_ns))
-        smoothed_ns = mean_latency_ns + LATENCY_SMOOTHING * (latency_ns - mean_latency_ns)
-        self.latencies_ns[request.event.class_index] = smoothed_ns
+        class_index = request.event.class_index
+        mean_ns = self.latencies_ns.get(class_index)
+        if mean_ns is None:
+            self.latencies_ns[class_index] = float(latency_ns)
+            self.deviations_ns[class_index] = INITIAL_DEVIATION_FRACTION * latency_ns
+            return
+        error_ns = latency_ns - mean_ns
+        deviation_ns = self.deviations_ns.get(class_index, 0.0)
+        self.latencies_ns[class_index] = mean_ns + LATENCY_SMOOTHING * error_ns
+        self.deviations_ns[class_index] = deviation_ns + LATENCY_SMOOTHING * (abs(error_ns) - deviation_ns)
 
     def _decrease(self, now: int) -> None:
         self.doubling = False
--- a/flintridge/policy/mechanisms.py
+++ b/flintridge/policy/mechanisms.py
@@ -15,6 +15,7 @@
 from flintridge.policy.server_selection import ServerSelection
 from flintridge.policy.slow_start import SlowStartBudget
 from flintridge.policy.stale_connections import StaleConnections
+from flintridge.policy.time_budget import TimeBudget
 from flintridge.policy.watch_backoff import WatchBackoff
 
 
@@ -31,6 +32,7 @@
         queues: The queues of requests that wait for a permit.
         cache_limiter: The concurrency limiter of attempts at the cache servers.
         origin_limiter: The concurrency limiter of attempts at the origin.
+        time_budget: Divides the time of clients among attempts.
         quotas: The quotas of tenants.
         rejected: Remembers rejected requests, to recognize their retries.
         outliers: Tracks the health of servers.
@@ -55,6 +57,7 @@
         self.queues = AdmissionQueues(origin_kind)
         self.cache_limiter = self.queues.caches.limiter
         self.origin_limiter = self.queues.origin.limiter
+        self.time_budget = TimeBudget(has_origin=origin_kind is not None)
         self.quotas = Quotas(settings.tenants, settings.fleet_size, rng)
         self.rejected = RejectedRequests(settings.classes, min(limits.max_open, MAX_REMEMBERED_REJECTIONS))
         self.outliers = OutlierDetection(self.table, settings.rules)
--- a/flintridge/policy/open_request.py
+++ b/flintridge/policy/open_request.py
@@ -45,11 +45,11 @@
     Attributes:
         event: The event with which the request was received.
         request_class: The class of the request.
+        attempt_budget_ns: The part of the client's time that one attempt may take, in nanoseconds.
         slow_after_ns: An attempt that takes longer than this counts as slow, in nanoseconds.
         work: The expected work in milliseconds; UNKNOWN_WORK if unknown.
-        first_arrived_at: The instant at which the first try of this request arrived, in nanoseconds. It is
-            before `arrived_at` if the request is recognized as a retry.
-        arrived_at: The instant at which the request arrived, in nanoseconds.
+        first_arrived_at: The instant at which the request arrived, in nanoseconds; if it is recognized as a
+            client's retry, that at which the first try arrived.
         over_quota: Whether the request is over its tenant's quota.
         queued_for: The upstream whose permit the request waits for; None if it does not wait.
         missed_by: The first cache server that missed, which stores the response of the origin.
@@ -66,10 +66,10 @@
 
     event: api.RequestReceived
     request_class: api.RequestClass
+    attempt_budget_ns: float
     slow_after_ns: float
     work: float
     first_arrived_at: int
-    arrived_at: int
     over_quota: bool = False
     queued_for: Upstream | None = None
     missed_by: str | None = None
@@ -84,22 +84,19 @@
     done: bool = False
 
     @classmethod
-    def received(cls, event: api.RequestReceived, request_class: api.RequestClass, now: int) -> "OpenRequest":
+    def received(
+        cls, event: api.RequestReceived, request_class: api.RequestClass, attempt_budget_ns: float, now: int
+    ) -> "OpenRequest":
         """Create the state of a request that arrives now."""
         slow_after_ns = SLOW_FRACTION * request_class.latency_objective_ns
         work = UNKNOWN_WORK if event.work_ns is None else event.work_ns / NS_PER_MS
-        return cls(event, request_class, slow_after_ns, work, now, now)
+        return cls(event, request_class, attempt_budget_ns, slow_after_ns, work, now)
 
     @property
     def attempts_made(self) -> int:
         """The number of attempts that count against the limit; withdrawn ones do not, up to MAX_WITHDRAWN."""
         return len(self.attempts) - min(self.withdrawn_count, MAX_WITHDRAWN)
 
-    @property
-    def is_unsent(self) -> bool:
-        """Whether all attempts so far were withdrawn, or there were none."""
-        return self.withdrawn_count == len(self.attempts)
-
     @property
     def is_in_flight(self) -> bool:
         """Whether an attempt is in flight."""
