Judge an attempt as slow by the time that clients wait, not by the latency objective

Seen by callers: with a short objective, limits fell and requests were rejected although every attempt was well within the time that clients wait; with a long one, attempts that left no time for anything else did not count as slow. Cause: SLOW_FRACTION, half of the latency objective, decided which attempts lower a concurrency limit and when an attempt times out.

Change: an attempt is slow if it takes longer than its part of the time that clients of the class usually wait: that time has to suffice for an attempt at each upstream that the request may need, and a retry of each. The usual time is a moving average by class (`TimeBudget.record`).

--- a/flintridge/policy/attempt_timeout.py
+++ b/flintridge/policy/attempt_timeout.py
@@ -28,8 +28,8 @@
             now: The current instant in nanoseconds.
 
         Returns:
-            The timeout in nanoseconds; 0 waits until the client's deadline, because a repeat could do harm,
-            add to the load or be late.
+            The timeout in nanoseconds, at least the duration beyond which an attempt counts as slow. 0 waits
+            until the client's deadline, because a repeat could do harm, add to the load or be late.
         """
         may_be_repeated = (
             not self._retries.is_last(request)
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -98,9 +98,7 @@
     def _on_request(self, event: api.RequestReceived) -> None:
         if event.id in self.open_requests:
             return
-        request_class = self.settings.classes[event.class_index]
-        attempt_budget_ns = self.time_budget.attempt_ns(event.deadline - self.now, event.write)
-        request = OpenRequest.received(event, request_class, attempt_budget_ns, self.now)
+        request = self._open(event)
         self.open_requests[event.id] = request
         self.slow_start.record_request(request.work)
         rejection = self.rejected.pop_match(event, self.now)
@@ -114,6 +112,17 @@
         else:
             self._enqueue(request, self.queues.select(event.write))
 
+    def _open(self, event: api.RequestReceived) -> OpenRequest:
+        timeout_ns = max(0, event.deadline - self.now)
+        self.time_budget.record(event.class_index, timeout_ns)
+        return OpenRequest.received(
+            event,
+            self.settings.classes[event.class_index],
+            self.time_budget.attempt_ns(timeout_ns, event.write),
+            self.time_budget.usual_attempt_ns(event.class_index, event.write),
+            self.now,
+        )
+
     def _enqueue(self, request: OpenRequest, queue: AdmissionQueue) -> None:
         """Send a request if a permit and a server are free, otherwise queue it until it would be late."""
         priority = priority_of(request, self.settings, self.cache_limiter.mean_latency_ns(request))
--- a/flintridge/policy/open_request.py
+++ b/flintridge/policy/open_request.py
@@ -7,7 +7,6 @@
 from flintridge.api import NEVER_EXECUTED, Outcome
 
 NS_PER_MS = 1_000_000
-SLOW_FRACTION = 0.5  # an attempt counts as slow if it takes more than this fraction of its latency objective
 UNKNOWN_WORK = 1.0  # milliseconds; assumed if the work of a request is unknown
 # At most this many withdrawn attempts per request are not counted, so that every request ends eventually.
 MAX_WITHDRAWN = 32
@@ -46,7 +45,8 @@
         event: The event with which the request was received.
         request_class: The class of the request.
         attempt_budget_ns: The part of the client's time that one attempt may take, in nanoseconds.
-        slow_after_ns: An attempt that takes longer than this counts as slow, in nanoseconds.
+        slow_after_ns: An attempt that takes longer than this counts as slow, in nanoseconds: the part of the
+            time that clients of the class usually have.
         work: The expected work in milliseconds; UNKNOWN_WORK if unknown.
         first_arrived_at: The instant at which the request arrived, in nanoseconds; if it is recognized as a
             client's retry, that at which the first try arrived.
@@ -85,10 +85,14 @@
 
     @classmethod
     def received(
-        cls, event: api.RequestReceived, request_class: api.RequestClass, attempt_budget_ns: float, now: int
+        cls,
+        event: api.RequestReceived,
+        request_class: api.RequestClass,
+        attempt_budget_ns: float,
+        slow_after_ns: float,
+        now: int,
     ) -> "OpenRequest":
         """Create the state of a request that arrives now."""
-        slow_after_ns = SLOW_FRACTION * request_class.latency_objective_ns
         work = UNKNOWN_WORK if event.work_ns is None else event.work_ns / NS_PER_MS
         return cls(event, request_class, attempt_budget_ns, slow_after_ns, work, now)
 
