Serve requests over quota last and keep the order free of how worth is counted

Seen by callers: with `overShareWorth` 1 (the default) a tenant's flood was served before others' requests, although docs/fleet.md and docs/design/policy.md promise it the lowest priority. With `worthBy` "request" a request of a class of weight 2 waited behind all of a quicker class of weight 1, with "work" it did not. Cause: priority_of multiplied and divided the class's weight by figures that say how results are counted.

The queue is a sorted list from which a finished request is removed at once; before, entries of finished requests stayed, and requests that waited for another's fetch were subtracted from `waiting` although they had no entry.

Tests: one order with both keys at either value (3 of 4 cases fail on the parent), the number of waiting requests beside a fetch (1 in place of 0; fails on the parent).

--- a/flintridge/api/settings.py
+++ b/flintridge/api/settings.py
@@ -243,8 +243,10 @@
         mode: Which component fetches from the origin after a cache miss.
         origin_kind: The endpoint kind of the origin in cache-aside mode; -1 if there is no origin.
         load_reporting: Which responses carry the load of a server.
-        weight_by_work: Whether the weight of a class is per unit of work instead of per request.
-        over_quota_weight: The fraction of its weight that a request over its tenant's quota has.
+        weight_by_work: Whether the weight of a class is per unit of work instead of per request, where
+            results are counted. It does not affect which request is served first.
+        over_quota_weight: The fraction of its weight that a request over its tenant's quota has, where
+            results are counted. Such requests are served last, whatever it is.
     """
 
     classes: tuple[RequestClass, ...] = (RequestClass(),)
--- a/flintridge/config/model.py
+++ b/flintridge/config/model.py
@@ -235,9 +235,9 @@
     origin_kind: Name | None = None  # aside only: the kind of the origin
     discovery_mode: Literal["on_request", "pushed"] = "on_request"
     load_reporting: Literal["none", "probe", "answers"] = "none"
-    # Whether the weight of a class is per request or per unit of work.
+    # Whether the weight of a class is per request or per unit of work, where results are counted.
     weight_by: Literal["request", "work"] = "request"
-    over_quota_weight: Fraction = 1.0  # fraction of the weight of a request that is over its tenant's quota
+    over_quota_weight: Fraction = 1.0  # fraction of the weight of a request over its quota, where results are counted
     fleet_size: Annotated[int, Meta(ge=1, le=100_000)] = 1  # number of nodes, this one included
     self_index: Count = 0
     machine: Machine = Machine()
--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -4,38 +4,42 @@
 not.
 """
 
-import heapq
+from bisect import bisect_left, insort
 from collections.abc import Callable
+from typing import NamedTuple
 
 from flintridge import api
-from flintridge.policy.concurrency_limiter import NS_PER_MS, ConcurrencyLimiter
+from flintridge.policy.concurrency_limiter import ConcurrencyLimiter
 from flintridge.policy.endpoint_state import Server
 from flintridge.policy.open_request import OpenRequest, Upstream
 
 MAX_SKIPPED = 4  # after this many requests without a free server, those behind them are not tried
-MAX_ABANDONED = 32  # abandoned entries; if there are more and they exceed half of the queue, they are removed
-MIN_LATENCY_NS = NS_PER_MS  # lower bound for the latency of a class in the computation of priorities
 CACHES_LIMIT = 4.0  # initial limit of attempts in flight at the cache servers
 ORIGIN_LIMIT = 8.0  # initial limit of attempts in flight at the origin
 ORIGIN_FLOOR_ATTEMPTS = 2.0  # upper bound of the origin limiter's floor, before the allocation is applied
 
 
-def priority_of(request: OpenRequest, settings: api.Settings, mean_latency_ns: float) -> float:
-    """Return the priority of a request, which is its weight per unit of work.
+class QueueEntry(NamedTuple):
+    """A request that waits, with what its place depends on; entries are sorted by all fields in this order.
 
-    Args:
+    Attributes:
+        is_over_quota: Whether the request is over its tenant's quota; such requests come last.
+        negative_weight: The priority weight of its class, negated.
+        negative_order: A number that decreases with each entry.
         request: The request.
-        settings: The settings, which define whether weights are per unit of work and the weight over quota.
-        mean_latency_ns: The mean latency of its class at the cache servers; 0 if unknown.
     """
-    weight = request.request_class.priority_weight
-    if request.over_quota:
-        weight *= settings.over_quota_weight
-    return weight if settings.weight_by_work else weight / max(mean_latency_ns, MIN_LATENCY_NS)
+
+    is_over_quota: bool
+    negative_weight: float
+    negative_order: int
+    request: OpenRequest
 
 
 class AdmissionQueue:
-    """The requests that wait for a permit of one limiter, sorted by priority and then the newest first.
+    """The requests that wait for a permit of one limiter.
+
+    Requests within their tenant's quota come first, then those of classes with a higher priority weight, then
+    the newest.
 
     Attributes:
         upstream: Where the attempts at these requests will be sent.
@@ -49,20 +53,20 @@
         self.upstream = upstream
         self.limiter = limiter
         self.next_limiter = next_limiter
-        # A heap of (-priority, -order, request), so that the highest priority and the newest come first.
-        self._entries: list[tuple[float, int, OpenRequest]] = []
-        self._abandoned = 0  # number of entries whose requests are finished
+        self._entries: list[QueueEntry] = []  # sorted
+        self._entry_of: dict[OpenRequest, QueueEntry] = {}
         self._scheduled_wake_up = 0  # the last instant that `admit` returned
 
     @property
     def waiting(self) -> int:
-        """The number of requests that wait."""
-        return max(0, len(self._entries) - self._abandoned)
+        """The number of requests that wait for a permit."""
+        return len(self._entries)
 
-    def push(self, request: OpenRequest, priority: float, order: int) -> None:
+    def push(self, request: OpenRequest, order: int) -> None:
         """Add a request to the queue; `order` has to increase with each call."""
         request.queued_for = self.upstream
-        heapq.heappush(self._entries, (-priority, -order, request))
+        weight = request.request_class.priority_weight
+        self._add(QueueEntry(request.over_quota, -weight, -order, request))
 
     def admit(
         self, now: int, try_send: Callable[[OpenRequest], bool], reject: Callable[[OpenRequest], None]
@@ -78,28 +82,25 @@
             The instant in nanoseconds at which `admit` has to be called again even if no attempt ends before;
             None if that is not necessary. Each such instant is returned only once.
         """
-        skipped: list[tuple[float, int, OpenRequest]] = []
+        skipped: list[QueueEntry] = []
         while self._entries and len(skipped) < MAX_SKIPPED and self.limiter.has_permit(now):
-            entry = heapq.heappop(self._entries)
-            request = entry[2]
-            if request.queued_for is not self.upstream:
-                continue
+            entry = self._entries.pop(0)
+            request = entry.request
+            del self._entry_of[request]
             if now + self._likely_attempt_ns(self.limiter, request) > request.event.deadline:
                 reject(request)
             elif not try_send(request):
                 skipped.append(entry)
         for entry in skipped:
-            heapq.heappush(self._entries, entry)
+            self._add(entry)
         return self._next_wake_up(now)
 
     def abandon(self, request: OpenRequest) -> None:
-        """Mark the entry of a finished request as abandoned; such entries are removed in bulk."""
+        """Remove a finished request, which may also have waited for another request's fetch."""
         request.queued_for = None
-        self._abandoned += 1
-        if self._abandoned > MAX_ABANDONED and self._abandoned > len(self._entries) / 2:
-            self._entries = [entry for entry in self._entries if self._is_waiting(entry[2])]
-            heapq.heapify(self._entries)
-            self._abandoned = 0
+        entry = self._entry_of.pop(request, None)
+        if entry is not None:
+            del self._entries[bisect_left(self._entries, entry)]
 
     def latest_start(self, request: OpenRequest) -> int:
         """Return until when a request may wait for its client to be answered in time, in nanoseconds.
@@ -133,6 +134,10 @@
             return request.attempt_budget_ns
         return min(max(likely_ns, request.event.work_ns or 0), request.attempt_budget_ns)
 
+    def _add(self, entry: QueueEntry) -> None:
+        insort(self._entries, entry)
+        self._entry_of[entry.request] = entry
+
     def _next_wake_up(self, now: int) -> int | None:
         """Return the end of the limiter's pause if requests wait for nothing else, or None."""
         limiter = self.limiter
@@ -147,9 +152,6 @@
         self._scheduled_wake_up = paused_until
         return paused_until
 
-    def _is_waiting(self, request: OpenRequest) -> bool:
-        return request.queued_for is self.upstream and not request.done
-
 
 class AdmissionQueues:
     """The queues and limiters for the cache servers and for the origin.
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 from flintridge import api
-from flintridge.policy.admission_queue import AdmissionQueue, priority_of
+from flintridge.policy.admission_queue import AdmissionQueue
 from flintridge.policy.endpoint_state import RING_BATCH_PAUSE_NS
 from flintridge.policy.mechanisms import Mechanisms
 from flintridge.policy.open_request import Attempt, OpenRequest
@@ -125,8 +125,7 @@
 
     def _enqueue(self, request: OpenRequest, queue: AdmissionQueue) -> None:
         """Send a request if a permit and a server are free, otherwise queue it until it would be late."""
-        priority = priority_of(request, self.settings, self.cache_limiter.mean_latency_ns(request))
-        queue.push(request, priority, next(self.sequence))
+        queue.push(request, next(self.sequence))
         self._admit(queue)
         self._reject_if_late(request.event.id)
 
--- a/tests/policy/test_admission_queue.py
+++ b/tests/policy/test_admission_queue.py
@@ -121,8 +121,8 @@
     in_time, late = (open_request(deadline=START + left_ms * MS) for left_ms in (110, 90))
     rejected: list[OpenRequest] = []
     sent: list[OpenRequest] = []
-    queue.push(in_time, 1.0, 0)
-    queue.push(late, 1.0, 1)
+    queue.push(in_time, 0)
+    queue.push(late, 1)
     queue.admit(START, lambda request: sent.append(request) is None, rejected.append)
     assert (sent, rejected) == ([in_time], [late])
 
@@ -150,33 +150,73 @@
     return sent
 
 
-@given(priorities=st.lists(st.sampled_from([0.1, 1.0, 1.0, 8.0]), max_size=80), data=st.data())
+@given(
+    kinds=st.lists(st.tuples(st.booleans(), st.sampled_from([0.1, 1.0, 1.0, 8.0])), max_size=80),
+    data=st.data(),
+)
 @plain
-def test_requests_are_admitted_by_priority_then_newest_first_after_any_removals(priorities, data):
+def test_requests_are_admitted_by_quota_weight_and_then_the_newest_first_after_any_removals(kinds, data):
     queue = make_queue()
-    waiting = [(priority, order, open_request()) for order, priority in enumerate(priorities)]
-    for priority, order, request in waiting:
-        queue.push(request, priority, order)
+    waiting = []
+    for order, (over_quota, weight) in enumerate(kinds):
+        request = open_request(over_quota=over_quota, priority_weight=weight)
+        waiting.append((over_quota, -weight, -order, request))
+        queue.push(request, order)
     leaving = data.draw(st.sets(st.sampled_from(range(len(waiting))))) if waiting else set()
     for index in leaving:
-        waiting[index][2].done = True
-        queue.abandon(waiting[index][2])
+        waiting[index][-1].done = True
+        queue.abandon(waiting[index][-1])
     assert queue.waiting == len(waiting) - len(leaving)
     staying = [entry for index, entry in enumerate(waiting) if index not in leaving]
-    staying.sort(key=lambda entry: (-entry[0], -entry[1]))
-    assert admitted(queue) == [request for _, _, request in staying]
+    assert admitted(queue) == [entry[-1] for entry in sorted(staying, key=lambda entry: entry[:-1])]
+
+
+@pytest.mark.parametrize("weight_by_work", [False, True])
+@pytest.mark.parametrize("over_quota_weight", [0.0, 1.0])
+def test_the_order_does_not_depend_on_how_the_worth_of_responses_is_counted(
+    weight_by_work, over_quota_weight
+):
+    """Guards the tenants within their quotas, and the classes of a higher weight, whatever is counted."""
+    classes = (api.RequestClass(priority_weight=1.0), api.RequestClass(priority_weight=2.0))
+    tenants = (api.Tenant("flood", 0.1), api.Tenant("calm", 1000.0))
+    router = limited_to_one(
+        classes=classes, tenants=tenants, weight_by_work=weight_by_work, over_quota_weight=over_quota_weight
+    )
+    router.balancer.cache_limiter.latencies_ns |= {0: 10 * MS, 1: 100 * MS}
+    for i in range(8):  # the bucket of the first tenant
+        router.end_attempt(router.request(f"b{i}", tenant=0), Outcome.CANCELLED, final=True)
+    first = router.request("k0", tenant=1)
+    flood = router.request("k1", 1, tenant=0)
+    light = router.request("k2", 0, tenant=1)
+    weighty = router.request("k3", 1, tenant=1)
+    expected = [first, weighty, light, flood]
+    for request_id in expected:
+        assert router.sends[-1].id == request_id
+        router.end_attempt(request_id, Outcome.CANCELLED, final=True)
+
+
+def test_a_request_that_waits_for_the_fetch_of_another_is_not_counted_as_waiting_for_a_permit():
+    router = Router(count=4)
+    followers = [router.request("k") for _ in range(3)]
+    for request_id in followers:
+        router.end_attempt(request_id, Outcome.MISS)
+    queue = router.balancer.queues.origin
+    router.balancer.origin_limiter.max_permits = 1
+    waiting = router.request("other", write=True)
+    router.notify(api.ClientDisconnected(followers[1]))
+    assert waiting not in router.attempts_made and queue.waiting == 1
 
 
 def test_requests_without_a_free_server_keep_their_place_in_the_queue():
     queue = make_queue()
     requests = [open_request() for _ in range(MAX_SKIPPED + 2)]
     for order, request in enumerate(requests):
-        queue.push(request, 1.0, order)
+        queue.push(request, order)
     newest = requests[-1]
     assert admitted(queue, sends=lambda request: request is not newest)[0] is requests[-2]
     queue = make_queue()
     for order, request in enumerate(requests):
-        queue.push(request, 1.0, order)
+        queue.push(request, order)
     offered: list[OpenRequest] = []
     assert admitted(queue, sends=offered.append) == []
     assert offered == requests[: -MAX_SKIPPED - 1 : -1]  # those behind are not tried
@@ -186,8 +226,8 @@
 def test_no_request_is_admitted_without_a_permit_and_the_end_of_a_pause_is_returned_once():
     queue = make_queue(permits=0.5)
     first, second = open_request(), open_request()
-    queue.push(first, 1.0, 0)
-    queue.push(second, 1.0, 1)
+    queue.push(first, 0)
+    queue.push(second, 1)
     assert admitted(queue) == [second]
     queue.limiter.release(START, 100 * MS)
     wake_ups = [queue.admit(START, pytest.fail, pytest.fail) for _ in range(2)]
