Serve by the time that clients have left, and reject at once who cannot be served in time

Seen by callers: the newest request got the next permit, so one with little time left was passed over for one with much; and a request that newer ones kept from being served waited until nothing could be answered any more, when it was too late for its client to try elsewhere. Cause: AdmissionQueue ordered by arrival alone, newest first, and rejected at the latest start only.

Change: the request that has to be sent the earliest to be in time goes first, as long as all can be. When one is queued, the wait of the one that is served last is estimated from the requests before it, the mean duration of attempts and the permits; if it is longer than that one may wait, it is rejected at once, with the time at which a permit is expected. From then on, until the queue is empty, the one with the most time left goes first. The same estimate gives the retry-after time, in place of the latency of the class.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -1,9 +1,11 @@
 """Admission queues: requests that wait for a permit of a concurrency limiter, ordered by priority.
 
 A request waits for as long as its client can still be answered in time, whether it was attempted before or
-not.
+not. If the queue gets too long for all of them to be answered in time, those that are served last are
+rejected at once.
 """
 
+import math
 from bisect import bisect_left, insort
 from collections.abc import Callable
 from typing import NamedTuple
@@ -25,21 +27,25 @@
     Attributes:
         is_over_quota: Whether the request is over its tenant's quota; such requests come last.
         negative_weight: The priority weight of its class, negated.
-        negative_order: A number that decreases with each entry.
+        latest_start: Until when the request may wait, as estimated when it was queued, in nanoseconds.
+        order: A number that increases with each entry.
         request: The request.
     """
 
     is_over_quota: bool
     negative_weight: float
-    negative_order: int
+    latest_start: int
+    order: int
     request: OpenRequest
 
 
 class AdmissionQueue:
     """The requests that wait for a permit of one limiter.
 
-    Requests within their tenant's quota come first, then those of classes with a higher priority weight, then
-    the newest.
+    Requests within their tenant's quota come first, then those of classes with a higher priority weight.
+    Among these, the request that has to be sent the earliest to be in time is served first, as long as all
+    requests can be. Once they cannot, and until the queue is empty, the request with the most time left is
+    served first: a miss or a slow response makes it late the least often, so most clients are answered.
 
     Attributes:
         upstream: Where the attempts at these requests will be sent.
@@ -55,6 +61,7 @@
         self.next_limiter = next_limiter
         self._entries: list[QueueEntry] = []  # sorted
         self._entry_of: dict[OpenRequest, QueueEntry] = {}
+        self._is_overloaded = False  # whether a request had to be rejected since the queue was last empty
         self._scheduled_wake_up = 0  # the last instant that `admit` returned
 
     @property
@@ -64,9 +71,11 @@
 
     def push(self, request: OpenRequest, order: int) -> None:
         """Add a request to the queue; `order` has to increase with each call."""
+        if not self._entries:
+            self._is_overloaded = False
         request.queued_for = self.upstream
         weight = request.request_class.priority_weight
-        self._add(QueueEntry(request.over_quota, -weight, -order, request))
+        self._add(QueueEntry(request.over_quota, -weight, self.latest_start(request), order, request))
 
     def admit(
         self, now: int, try_send: Callable[[OpenRequest], bool], reject: Callable[[OpenRequest], None]
@@ -84,9 +93,9 @@
         """
         skipped: list[QueueEntry] = []
         while self._entries and len(skipped) < MAX_SKIPPED and self.limiter.has_permit(now):
-            entry = self._entries.pop(0)
+            entry = self._entries[self._first_index()]
             request = entry.request
-            del self._entry_of[request]
+            self._remove(request)
             if now + self._likely_attempt_ns(self.limiter, request) > request.event.deadline:
                 reject(request)
             elif not try_send(request):
@@ -95,12 +104,29 @@
             self._add(entry)
         return self._next_wake_up(now)
 
+    def shed(self, now: int) -> list[OpenRequest]:
+        """Remove and return the requests that are not expected to get a permit in time.
+
+        Their clients are better told now than when their time is over: they may still try elsewhere.
+        """
+        shed: list[OpenRequest] = []
+        while self._entries:
+            wait_ns = self.expected_wait_ns(self.waiting - 1, now)
+            request = self._entries[self._last_index()].request
+            if now + wait_ns <= self.latest_start(request):
+                break
+            if self._is_overloaded:
+                self._remove(request)
+                shed.append(request)
+            else:
+                self._is_overloaded = True  # which changes the order
+        return shed
+
     def abandon(self, request: OpenRequest) -> None:
         """Remove a finished request, which may also have waited for another request's fetch."""
         request.queued_for = None
-        entry = self._entry_of.pop(request, None)
-        if entry is not None:
-            del self._entries[bisect_left(self._entries, entry)]
+        if request in self._entry_of:
+            self._remove(request)
 
     def latest_start(self, request: OpenRequest) -> int:
         """Return until when a request may wait for its client to be answered in time, in nanoseconds.
@@ -114,13 +140,16 @@
         client_end = request.first_arrived_at + request.request_class.deadline_ns
         return min(client_end, request.event.deadline) - int(needed_ns)
 
-    def expected_wait_ns(self, request: OpenRequest, now: int) -> float:
-        """Estimate how long a new request would have to wait in the queue, in nanoseconds."""
-        limiter = self.limiter
-        mean_latency_ns = limiter.mean_latency_ns(request, request.slow_after_ns)
-        ahead = self.waiting + limiter.inflight
-        queue_ns = mean_latency_ns * ahead / max(limiter.limit, limiter.floor)
-        return max(queue_ns, limiter.paused_until - now)
+    def expected_wait_ns(self, ahead: int, now: int, assumed_duration_ns: float = 0.0) -> float:
+        """Estimate how long a request waits for a permit behind others, in nanoseconds.
+
+        Args:
+            ahead: The number of others.
+            now: The current instant in nanoseconds.
+            assumed_duration_ns: The duration of an attempt that is assumed if none has ended yet.
+        """
+        interval_ns = self.limiter.permit_interval_ns(assumed_duration_ns)
+        return max((ahead + 1) * interval_ns, self.limiter.paused_until - now)
 
     @staticmethod
     def _likely_attempt_ns(limiter: ConcurrencyLimiter, request: OpenRequest) -> float:
@@ -138,6 +167,25 @@
         insort(self._entries, entry)
         self._entry_of[entry.request] = entry
 
+    def _remove(self, request: OpenRequest) -> None:
+        entry = self._entry_of.pop(request)
+        del self._entries[bisect_left(self._entries, entry)]
+
+    def _first_index(self) -> int:
+        """Return the index of the entry that is served first."""
+        if not self._is_overloaded:
+            return 0
+        first = self._entries[0]
+        end_of_group = (first.is_over_quota, first.negative_weight, math.inf)
+        return bisect_left(self._entries, end_of_group) - 1
+
+    def _last_index(self) -> int:
+        """Return the index of the entry that is served last."""
+        if not self._is_overloaded:
+            return len(self._entries) - 1
+        last = self._entries[-1]
+        return bisect_left(self._entries, (last.is_over_quota, last.negative_weight))
+
     def _next_wake_up(self, now: int) -> int | None:
         """Return the end of the limiter's pause if requests wait for nothing else, or None."""
         limiter = self.limiter
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -124,9 +124,11 @@
         )
 
     def _enqueue(self, request: OpenRequest, queue: AdmissionQueue) -> None:
-        """Send a request if a permit and a server are free, otherwise queue it until it would be late."""
+        """Send a request if a permit and a server are free, otherwise queue it while it can be in time."""
         queue.push(request, next(self.sequence))
         self._admit(queue)
+        for unserved in queue.shed(self.now):
+            self._reject_or_fail(unserved)
         self._reject_if_late(request.event.id)
 
     def _reject_if_late(self, request_id: str) -> None:
--- a/flintridge/policy/concurrency_limiter.py
+++ b/flintridge/policy/concurrency_limiter.py
@@ -15,6 +15,7 @@
 # With less of the limit in use, a good round does not show that a higher limit would be good too.
 MIN_USED_FRACTION = 0.7
 INCREASE_FRACTION = 0.05  # of the limit, after a good round
+DURATION_SMOOTHING = 0.05  # the weight of one attempt in the exponential moving average of durations
 LATENCY_SMOOTHING = 0.05  # the weight of one response in the exponential moving averages
 # A response takes longer than the mean plus this many mean deviations only rarely (RFC 6298).
 LIKELY_DEVIATIONS = 4.0
@@ -54,6 +55,7 @@
         round_started_at: The instant at which this round started, in nanoseconds.
         round_attempts: The number of attempts that ended in this round.
         round_slow: The number of slow attempts among them.
+        mean_duration_ns: The mean duration of attempts in nanoseconds, however they ended; 0 if none has.
         latencies_ns: The mean latency of served requests in nanoseconds, by request class.
         deviations_ns: The mean deviation from it in nanoseconds, by request class.
     """
@@ -70,6 +72,7 @@
     round_started_at: int = 0
     round_attempts: int = 0
     round_slow: int = 0
+    mean_duration_ns: float = 0.0
     latencies_ns: dict[int, float] = field(default_factory=dict)
     deviations_ns: dict[int, float] = field(default_factory=dict)
 
@@ -97,8 +100,19 @@
     def release(self, now: int, latency_ns: int) -> None:
         """Stop counting an attempt as in flight; if the limit is below 1, a pause begins."""
         self.inflight -= 1
+        mean_ns = self.mean_duration_ns or float(latency_ns)
+        self.mean_duration_ns = mean_ns + DURATION_SMOOTHING * (latency_ns - mean_ns)
         self.paused_until = now + int(latency_ns * (1 / self.limit - 1)) if self.limit < 1 else 0
 
+    def permit_interval_ns(self, assumed_duration_ns: float = 0.0) -> float:
+        """Return the mean time between two permits while all are in use, in nanoseconds; 0 if there are none.
+
+        Args:
+            assumed_duration_ns: The duration of an attempt that is assumed if none has ended yet.
+        """
+        permits = min(self.limit, self.max_permits)
+        return (self.mean_duration_ns or assumed_duration_ns) / permits if permits > 0 else 0.0
+
     def record(self, now: int, slow: bool, sent_at: int) -> RoundResult:
         """Record the end of an attempt, and adapt the limit if this ends the round.
 
--- a/flintridge/policy/rejected_requests.py
+++ b/flintridge/policy/rejected_requests.py
@@ -69,7 +69,7 @@
         return 0
     wait_ns = quotas.wait_ns(request.event.tenant, now) if request.over_quota else None
     if wait_ns is None:
-        wait_ns = queue.expected_wait_ns(request, now)
+        wait_ns = queue.expected_wait_ns(queue.waiting, now, request.attempt_budget_ns)
     return int(min(max(wait_ns, MIN_RETRY_AFTER_NS), limits.max_retry_after_ns))
 
 
--- a/tests/policy/test_concurrency_limiter.py
+++ b/tests/policy/test_concurrency_limiter.py
@@ -252,3 +252,23 @@
         assert not (limiter.has_permit(now) and inflight >= max(1, min(30, limiter.limit)))
         limiter.record(now, slow, now)
         assert limiter.limit >= limiter.floor
+
+
+@pytest.mark.parametrize(
+    ("durations_ms", "limit", "max_permits", "expected_ms"),
+    [
+        ([], 4.0, math.inf, 10),  # none has ended: as assumed
+        ([100], 4.0, math.inf, 25),
+        ([100, 300], 4.0, math.inf, 27.5),  # a moving average
+        ([100], 4.0, 2, 50),
+        ([100], 0.5, math.inf, 200),  # one at a time with a pause
+        ([100], 4.0, 0, 0),  # there is none
+    ],
+)
+def test_the_interval_of_permits_is_the_duration_of_attempts_divided_by_the_permits(
+    durations_ms, limit, max_permits, expected_ms
+):
+    limiter = ConcurrencyLimiter(limit, max_permits=max_permits, inflight=len(durations_ms))
+    for duration_ms in durations_ms:
+        limiter.release(0, duration_ms * MS)
+    assert limiter.permit_interval_ns(assumed_duration_ns=40 * MS) == pytest.approx(expected_ms * MS)
