Handle a client's repeat like a first try, and give back the quota of what is never sent

Seen by callers: a request with the class, tenant, key and hint of one that had been rejected was taken for its repeat, whoever sent it. It waited less long than others (its time counted from the other one's arrival), or was rejected at once; and it kept the other one's place within or beyond the quota.

Change: rejections are not remembered. Each request has its own time and takes its own token of the quota. A request that is never sent gives its token back (Quotas.give_back): otherwise the repeats of rejected requests would put a tenant over its quota that keeps within it. `retry_after_ns` stays, in retry_after.py.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -1,8 +1,8 @@
 """Admission queues: requests that wait for a permit of a concurrency limiter, ordered by priority.
 
 A request waits for as long as its client can still be answered in time, whether it was attempted before or
-not. If the queue gets too long for all of them to be answered in time, those that are served last are
-rejected at once.
+not, and whether it is its client's first try or a repeat. If the queue gets too long for all of them to be
+answered in time, those that are served last are rejected at once.
 """
 
 import math
@@ -137,8 +137,7 @@
         needed_ns = self._likely_attempt_ns(self.limiter, request)
         if self.next_limiter is not None and request.preferred_server is None:
             needed_ns += self._likely_attempt_ns(self.next_limiter, request)
-        client_end = request.first_arrived_at + request.request_class.deadline_ns
-        return min(client_end, request.event.deadline) - int(needed_ns)
+        return request.event.deadline - int(needed_ns)
 
     def expected_wait_ns(self, ahead: int, now: int, assumed_duration_ns: float = 0.0) -> float:
         """Estimate how long a request waits for a permit behind others, in nanoseconds.
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -13,8 +13,8 @@
 from flintridge.policy.endpoint_state import RING_BATCH_PAUSE_NS
 from flintridge.policy.mechanisms import Mechanisms
 from flintridge.policy.open_request import Attempt, OpenRequest
-from flintridge.policy.rejected_requests import retry_after_ns
 from flintridge.policy.retry import NextStep
+from flintridge.policy.retry_after import retry_after_ns
 
 
 class Balancer(Mechanisms):
@@ -101,12 +101,7 @@
         request = self._open(event)
         self.open_requests[event.id] = request
         self.slow_start.record_request(request.work)
-        rejection = self.rejected.pop_match(event, self.now)
-        if rejection is not None:
-            request.first_arrived_at = rejection.first_arrived_at
-            request.over_quota = rejection.over_quota
-        if rejection is None or self.quotas.is_strict:
-            request.over_quota = not self.quotas.try_take(event.tenant, self.now)
+        request.over_quota = not self.quotas.try_take(event.tenant, self.now)
         if request.over_quota and not self.quotas.admits_over_quota():
             self._reject_or_fail(request)
         else:
@@ -120,7 +115,6 @@
             self.settings.classes[event.class_index],
             self.time_budget.attempt_ns(timeout_ns, event.write),
             self.time_budget.usual_attempt_ns(event.class_index, event.write),
-            self.now,
         )
 
     def _enqueue(self, request: OpenRequest, queue: AdmissionQueue) -> None:
@@ -234,7 +228,6 @@
     def _reject_or_fail(self, request: OpenRequest) -> None:
         """Reject a request if the client may safely repeat it, otherwise fail it."""
         event = request.event
-        self.rejected.record(request, self.now)
         if self.retries.may_be_rejected(request, self.now):
             queue = self.queues.select(event.write or request.missed_by is not None)
             wait_ns = retry_after_ns(request, self.quotas, queue, self.settings.limits, self.now)
@@ -245,6 +238,8 @@
 
     def _finish(self, request: OpenRequest) -> None:
         request.done = True
+        if request.attempts_made == 0 and not request.over_quota:
+            self.quotas.give_back(request.event.tenant, self.now)
         queue = self.queues.containing(request)
         if queue is not None:
             queue.abandon(request)
--- a/flintridge/policy/mechanisms.py
+++ b/flintridge/policy/mechanisms.py
@@ -9,7 +9,6 @@
 from flintridge.policy.endpoint_state import ServerTable
 from flintridge.policy.outlier_detection import OutlierDetection
 from flintridge.policy.quota import Quotas
-from flintridge.policy.rejected_requests import MAX_REMEMBERED_REJECTIONS, RejectedRequests
 from flintridge.policy.request_coalescing import RequestCoalescing
 from flintridge.policy.retry import RetryPolicy
 from flintridge.policy.server_selection import ServerSelection
@@ -34,7 +33,6 @@
         origin_limiter: The concurrency limiter of attempts at the origin.
         time_budget: Divides the time of clients among attempts.
         quotas: The quotas of tenants.
-        rejected: Remembers rejected requests, to recognize their retries.
         outliers: Tracks the health of servers.
         slow_start: Limits the work for servers that are warming up.
         selection: Picks the cache server for an attempt.
@@ -59,7 +57,6 @@
         self.origin_limiter = self.queues.origin.limiter
         self.time_budget = TimeBudget(has_origin=origin_kind is not None)
         self.quotas = Quotas(settings.tenants, settings.fleet_size, rng)
-        self.rejected = RejectedRequests(settings.classes, min(limits.max_open, MAX_REMEMBERED_REJECTIONS))
         self.outliers = OutlierDetection(self.table, settings.rules)
         self.slow_start = SlowStartBudget(settings, self.table, rng)
         self.selection = ServerSelection(self.table, self.cache_limiter, self.outliers, self.slow_start)
--- a/flintridge/policy/open_request.py
+++ b/flintridge/policy/open_request.py
@@ -48,8 +48,6 @@
         slow_after_ns: An attempt that takes longer than this counts as slow, in nanoseconds: the part of the
             time that clients of the class usually have.
         work: The expected work in milliseconds; UNKNOWN_WORK if unknown.
-        first_arrived_at: The instant at which the request arrived, in nanoseconds; if it is recognized as a
-            client's retry, that at which the first try arrived.
         over_quota: Whether the request is over its tenant's quota.
         queued_for: The upstream whose permit the request waits for; None if it does not wait.
         missed_by: The first cache server that missed, which stores the response of the origin.
@@ -69,7 +67,6 @@
     attempt_budget_ns: float
     slow_after_ns: float
     work: float
-    first_arrived_at: int
     over_quota: bool = False
     queued_for: Upstream | None = None
     missed_by: str | None = None
@@ -90,11 +87,10 @@
         request_class: api.RequestClass,
         attempt_budget_ns: float,
         slow_after_ns: float,
-        now: int,
     ) -> "OpenRequest":
-        """Create the state of a request that arrives now."""
+        """Create the state of a request that was received."""
         work = UNKNOWN_WORK if event.work_ns is None else event.work_ns / NS_PER_MS
-        return cls(event, request_class, attempt_budget_ns, slow_after_ns, work, now)
+        return cls(event, request_class, attempt_budget_ns, slow_after_ns, work)
 
     @property
     def attempts_made(self) -> int:
--- a/flintridge/policy/quota.py
+++ b/flintridge/policy/quota.py
@@ -33,10 +33,14 @@
         """Create a full bucket."""
         return cls(rate_per_s, max(MIN_DEPTH_TOKENS, rate_per_s), now)
 
+    @property
+    def depth(self) -> float:
+        """The maximum number of tokens."""
+        return max(MIN_DEPTH_TOKENS, self.rate_per_s)
+
     def level(self, now: int) -> float:
         """Return the number of tokens at the instant `now`."""
-        depth = max(MIN_DEPTH_TOKENS, self.rate_per_s)
-        return min(depth, self.tokens + self.rate_per_s * (now - self.updated_at) / NS_PER_S)
+        return min(self.depth, self.tokens + self.rate_per_s * (now - self.updated_at) / NS_PER_S)
 
     def try_take(self, now: int) -> bool:
         """Take a token if there is one.
@@ -52,6 +56,11 @@
         self.tokens = tokens - 1
         return True
 
+    def give_back(self, now: int) -> None:
+        """Return a token that was taken; it is lost if the bucket is full again."""
+        self.tokens = min(self.depth, self.level(now) + 1)
+        self.updated_at = now
+
     def add(self, tokens: float, now: int) -> None:
         """Add tokens; those that exceed the depth of the bucket can only be taken at this instant."""
         self.tokens = self.level(now) + tokens
@@ -108,6 +117,15 @@
             return True
         return self._bucket(tenant, now).try_take(now)
 
+    def give_back(self, tenant: int, now: int) -> None:
+        """Return the token of a request within the quota that was never sent.
+
+        A client that repeats a rejected request takes another token. Without this, an overload would put a
+        tenant over its quota that keeps within it.
+        """
+        if self.rates_per_s.get(tenant):
+            self._bucket(tenant, now).give_back(now)
+
     def level(self, tenant: int, now: int) -> float:
         """Return the number of tokens that a tenant with a quota has at the instant `now`."""
         return self._bucket(tenant, now).level(now)
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -32,6 +32,26 @@
     assert router.sends[-1].id == first[len(within_quota) - 1]  # the first one over quota
 
 
+@pytest.mark.parametrize("is_marked", [False, True])
+def test_a_request_that_was_never_sent_uses_up_no_quota_and_its_repeat_is_counted_like_any_other(is_marked):
+    """Guards a tenant within its quota: in an overload, its clients' repeats would put it over the quota."""
+    router = Router(count=1, tenants=(api.Tenant("one", 2.0),), fleet_size=50)
+    router.balancer.quotas.over_quota_admit_fraction = 0.0
+    router.balancer.cache_limiter.max_permits = 0
+    for _ in range(3 * int(MIN_DEPTH_TOKENS)):
+        request_id = router.request("k", work_ns=MS, retry=is_marked)
+        assert request_id not in router.final_responses  # it waits for a permit
+        router.notify(api.ClientDisconnected(request_id))
+    router.notify(api.AllocationUpdate())  # permits again
+    request_id = router.request("k", work_ns=MS, retry=is_marked)
+    served = 0
+    while request_id not in router.final_responses:
+        router.end_attempt(request_id, Outcome.CANCELLED, final=True)
+        served += 1
+        request_id = router.request("k", work_ns=MS, retry=is_marked)
+    assert served == MIN_DEPTH_TOKENS
+
+
 def test_requests_over_quota_are_rejected_first():
     """With one request in flight at each of many nodes, the queue order cannot protect other tenants."""
     tenants = (api.Tenant("flood", 2.0), api.Tenant("calm", 2.0))
@@ -84,6 +104,15 @@
     assert bucket.level(int(wait_ns) + 1) >= 1 - 1e-6
 
 
+@pytest.mark.parametrize(("taken", "level"), [(0, 8.0), (1, 8.0), (3, 6.0)])
+def test_a_token_that_is_given_back_can_be_taken_again_up_to_the_depth(taken, level):
+    bucket = TokenBucket.full(0.5, 0)
+    for _ in range(taken):
+        assert bucket.try_take(0)
+    bucket.give_back(0)
+    assert bucket.level(0) == level
+
+
 def test_a_new_rate_applies_from_its_change_on():
     bucket = TokenBucket(1.0, 0.0, 0)
     bucket.set_rate(10.0, 2 * S)
