Count a client's repeats in the demand for leases of quotas

Seen by operators: where nodes lease quotas, a node whose tenant's clients repeat rejected requests asked for less than it used: each repeat takes a token of the quota, but only unmarked requests counted as demand. A client that marks its repeats (`r=1`) thus got less of its quota leased than one that does not. Cause: RequestLifecycle._open reported a request to the demand meter only if it was not marked.

--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -36,7 +36,7 @@
         policy_driver: Passes events to the policy.
         settings: The service's settings.
         on_attempts_changed: Called with the attempt and +1 when it starts, and with -1 when it ends.
-        on_new_request: Called with the tenant of each request that is not a retry.
+        on_new_request: Called with the tenant of each request.
     """
 
     def __init__(
@@ -165,7 +165,7 @@
         entry.is_guarded = self.settings.classes[request.class_index].effect is not api.Effect.SAFE
         self._deadlines.start(entry, arrived_after)
         self.open_requests.add(entry)
-        if self.on_new_request is not None and not request.retry:
+        if self.on_new_request is not None:
             self.on_new_request(request.tenant)
         self.policy_driver.notify(
             api.RequestReceived(
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -73,6 +73,16 @@
     assert (event.work_ns, event.size) == (12_000_500, 3.0)
 
 
+def test_submit_when_a_request_is_a_retry_then_counts_as_demand_like_any_other():
+    """Guards the leases of quotas, from which each request takes a token, a client's retry included."""
+    harness = LifecycleHarness()
+    tenants: list[int] = []
+    harness.core.on_new_request = tenants.append
+    harness.submit(uid="a1", tenant=1)
+    harness.submit(uid="a2", tenant=2, retry=True)
+    assert tenants == [1, 2]
+
+
 @pytest.mark.parametrize(
     ("timeout_ms", "due"), [(None, 11_990), (9e9, 11_990), (10.0, 10_009), (0.0, 10_000)]
 )
