Estimate a warming server's capacity without quotas by the deadline, not the objective

Seen by operators without quotas: how much work a server that has just started was sent in its first seconds depended on the shortest latency objective (`sloNs`, `aim_ms`): the shorter the aim, the more work was assumed to be within the server's capacity, up to twenty times in the test.

Change: one request within the shortest deadline of a class, the time that clients wait: a server that does less could answer no client. With quotas nothing changes.

--- a/flintridge/policy/slow_start.py
+++ b/flintridge/policy/slow_start.py
@@ -263,9 +263,9 @@
         window_ns = settings.rules.overload_window_ns
         quotas_per_s = sum(tenant.quota_per_s for tenant in settings.tenants)
         self._quota_requests = quotas_per_s * window_ns / NS_PER_S  # allowed by all quotas in one window
-        objective_ns = min((each.latency_objective_ns for each in settings.classes), default=0)
-        # A server with a lower capacity could not serve a request within its latency objective.
-        self._min_requests = window_ns / max(1, objective_ns)
+        deadline_ns = min((each.deadline_ns for each in settings.classes), default=0)
+        # A server with a lower capacity could not serve a request while its client waits.
+        self._min_requests = window_ns / max(1, deadline_ns)
         self._window_started_at = 0
         self._window_work = 0.0  # served by all warm servers in this window
 
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -102,7 +102,7 @@
 def budget(quota_per_s: float = 40.0, fleet_size: int = 1, **rules) -> SlowStartBudget:
     rules = {"overload_multiple": 4.0, "overload_window_ns": S} | rules
     made = api.Settings(
-        classes=(api.RequestClass(latency_objective_ns=200 * MS),),
+        classes=(api.RequestClass(deadline_ns=200 * MS), api.RequestClass(latency_objective_ns=10 * MS)),
         tenants=(api.Tenant(quota_per_s=quota_per_s),),
         rules=api.Rules(slow_start_fraction=0.5, slow_start_ns=10 * S, **rules),
         fleet_size=fleet_size,
@@ -120,7 +120,7 @@
         (40.0, 5, 1.0, 0.0, 20.0),
         (40.0, 5, 3.0, 0.0, 60.0),
         (40.0, 5, 1.0, 70.0, 70.0),  # the observed work is higher
-        (0.0, 1, 1.0, 0.0, 50.0),  # without quotas, one request per objective
+        (0.0, 1, 1.0, 0.0, 50.0),  # without quotas, one request while a client waits
     ],
 )
 def test_the_work_of_a_warm_server_is_estimated_from_quotas_or_observed(
