Use a free permit for a request whose class was never served, and judge by the mean latency

Seen by callers: a retry with 170 of 470 ms left was rejected although a permit and a server were free, because no request of its class had been served yet and an attempt was assumed to take half of the client's time. Cause: AdmissionQueue.admit asked of a request that can be sent now what is asked of one that has to wait: that the time left suffices for a latency that is rarely exceeded.

Change: with a free permit the mean latency decides, and nothing if it is unknown: waiting costs the client its time, trying costs it nothing.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -96,7 +96,7 @@
             entry = self._entries[self._first_index()]
             request = entry.request
             self._remove(request)
-            if now + self._likely_attempt_ns(self.limiter, request) > request.event.deadline:
+            if now + self._mean_attempt_ns(request) > request.event.deadline:
                 reject(request)
             elif not try_send(request):
                 skipped.append(entry)
@@ -150,6 +150,14 @@
         interval_ns = self.limiter.permit_interval_ns(assumed_duration_ns)
         return max((ahead + 1) * interval_ns, self.limiter.paused_until - now)
 
+    def _mean_attempt_ns(self, request: OpenRequest) -> float:
+        """Return how long an attempt takes on average, in nanoseconds; at most its time budget.
+
+        It is 0 if it is unknown: with a permit, there is nothing to lose by an attempt.
+        """
+        mean_ns = max(self.limiter.mean_latency_ns(request), request.event.work_ns or 0)
+        return min(mean_ns, request.attempt_budget_ns)
+
     @staticmethod
     def _likely_attempt_ns(limiter: ConcurrencyLimiter, request: OpenRequest) -> float:
         """Return a duration that an attempt rarely exceeds, in nanoseconds; at most its time budget.
