Let a value wait for memory for half of its client's time, in place of a second

Seen by callers: a write that found no memory was answered `busy` after 1 s, whatever its client waits. A client that waits 900 ms (the long writes of the tests) or 100 ms had given up by then, could not try elsewhere, and its value held its place in the queue for memory all the while. Cause: MEMORY_WAIT_MS did not know the client's time, although the command line that gives it has been parsed.

Change: ValueAnnounced carries its request, and the value waits for half of the time that its client waits, 1 s at most (a client that stopped within the value is owed its error within 3 s, the wait included). The other half is the time budget of an attempt at a write. `client_timeout_ms` gives that time to the deadline as well.

--- a/flintridge/codec/memcache/command_parser.py
+++ b/flintridge/codec/memcache/command_parser.py
@@ -185,7 +185,7 @@
             self._skip_next_value(command)
         elif length > UNRESERVED_VALUE_BYTES:
             self._state = _State.AWAITING_ADMISSION
-            return ValueAnnounced(length)
+            return ValueAnnounced(length, command)
         else:
             self._state = _State.SHORT_VALUE
         return None
--- a/flintridge/codec/memcache/commands.py
+++ b/flintridge/codec/memcache/commands.py
@@ -29,9 +29,11 @@
 
     Attributes:
         length: The length of the value, in bytes.
+        request: The request that it belongs to, without the value.
     """
 
     length: int
+    request: Request
 
 
 @dataclass(slots=True, frozen=True)
--- a/flintridge/core/deadlines.py
+++ b/flintridge/core/deadlines.py
@@ -5,6 +5,7 @@
 
 from flintridge import api
 from flintridge.core.open_requests import OpenRequest, OpenRequests
+from flintridge.core.request import Request
 from flintridge.runtime.clock import Clock, to_ms
 
 # Responses are due this much before the client's timeout: the client counts from when it sent the request,
@@ -14,6 +15,17 @@
 MIN_MARGINS_PER_TIMEOUT = 10
 
 
+def client_timeout_ms(request: Request, classes: tuple[api.RequestClass, ...]) -> float:
+    """Return how long the client of a request waits for its response, in milliseconds.
+
+    Args:
+        request: The request.
+        classes: The request classes in the order of the settings; each has a maximum.
+    """
+    longest_ms = to_ms(classes[request.class_index].deadline_ns)
+    return longest_ms if request.timeout_ms is None else min(longest_ms, request.timeout_ms)
+
+
 class ResponseDeadlines:
     """The response deadlines of a node's requests. Instants are milliseconds of the node's clock.
 
@@ -50,12 +62,9 @@
             request: A new request.
             arrived_after: The instant from which the client's timeout is counted.
         """
-        timeout_ms = request.request.timeout_ms
-        client_timeout_ms = to_ms(self._classes[request.request.class_index].deadline_ns)
-        if timeout_ms is not None:
-            client_timeout_ms = min(client_timeout_ms, timeout_ms)
-        margin_ms = min(RESPONSE_MARGIN_MS, client_timeout_ms / MIN_MARGINS_PER_TIMEOUT)
-        request.deadline = min(arrived_after + client_timeout_ms - margin_ms, self.respond_by)
+        timeout_ms = client_timeout_ms(request.request, self._classes)
+        margin_ms = min(RESPONSE_MARGIN_MS, timeout_ms / MIN_MARGINS_PER_TIMEOUT)
+        request.deadline = min(arrived_after + timeout_ms - margin_ms, self.respond_by)
         self._start_timer(request, request.deadline + margin_ms / 2)
 
     def respond_all_by(self, instant: float) -> None:
--- a/flintridge/downstream/command_input.py
+++ b/flintridge/downstream/command_input.py
@@ -111,18 +111,19 @@
         self._limit_reads()
         return command
 
-    async def reserve_memory(self, length: int) -> bool:
+    async def reserve_memory(self, length: int, client_timeout_ms: float) -> bool:
         """Reserve memory for a value before it is read, waiting until enough is free.
 
         Nothing is read meanwhile, so backpressure holds the bytes on the client's side.
 
         Args:
             length: The length of the value, in bytes.
+            client_timeout_ms: How long the client waits for the response, in milliseconds.
 
         Returns:
             Whether the memory was reserved.
         """
-        granted = await self.value_memory.reserve(bytes_to_reserve(length))
+        granted = await self.value_memory.reserve(bytes_to_reserve(length), client_timeout_ms)
         self._timer.record_memory_wait(self.value_memory.wait_ms)
         return granted
 
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -6,6 +6,7 @@
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.commands import ValueAnnounced
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
+from flintridge.core.deadlines import client_timeout_ms
 from flintridge.downstream.client_presence import ClientPresence
 from flintridge.downstream.command_executor import CommandExecutor
 from flintridge.downstream.command_input import CommandInput
@@ -233,7 +234,7 @@
             self.has_sent_command = True
             if isinstance(command, ValueAnnounced):
                 self._uncork()
-                await self._admit_value(command.length)
+                await self._admit_value(command)
             else:
                 self._corked = True
                 if not self._executor.execute(command, self):
@@ -250,9 +251,10 @@
         self._uncork()
         return True
 
-    async def _admit_value(self, length: int) -> None:
+    async def _admit_value(self, announced: ValueAnnounced) -> None:
         """Have the announced value read once memory is reserved for it, or skipped if there is none."""
-        granted = await self._input.reserve_memory(length)
+        timeout_ms = client_timeout_ms(announced.request, self._owner.core.settings.classes)
+        granted = await self._input.reserve_memory(announced.length, timeout_ms)
         if self._closed or self._orderly_close.started:
             self._input.value_memory.release()
             return
--- a/flintridge/downstream/value_memory.py
+++ b/flintridge/downstream/value_memory.py
@@ -3,7 +3,11 @@
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.runtime.clock import Clock
 
-MEMORY_WAIT_MS = 1_000.0  # how long a value may wait for memory
+# How long a value may wait for memory, however long its client waits. A client that has stopped within the
+# value must get its error within 3 s of connecting, the wait included.
+MAX_MEMORY_WAIT_MS = 1_000.0
+# The part of its client's time that a value may wait for memory. The rest is left for an attempt.
+MEMORY_WAIT_FRACTION = 0.5
 
 
 class ValueMemory:
@@ -23,12 +27,21 @@
         self._clock = clock
         self._reserved_bytes = 0
 
-    async def reserve(self, count: int) -> bool:
-        """Reserve `count` bytes; returns False if they do not become free within MEMORY_WAIT_MS."""
+    async def reserve(self, count: int, client_timeout_ms: float) -> bool:
+        """Reserve memory, waiting until it is free or the client could hardly be answered any more.
+
+        Args:
+            count: The number of bytes.
+            client_timeout_ms: How long the client waits for the response, in milliseconds.
+
+        Returns:
+            Whether the memory was reserved.
+        """
+        longest_wait_ms = min(MAX_MEMORY_WAIT_MS, MEMORY_WAIT_FRACTION * client_timeout_ms)
         requested_at = self._clock.now()
         self.awaited = True
         try:
-            granted = await self._budget.reserve(count, MEMORY_WAIT_MS)
+            granted = await self._budget.reserve(count, longest_wait_ms)
         finally:
             self.awaited = False
         self.wait_ms = self._clock.now() - requested_at
--- a/tests/downstream/test_downstream_streaming.py
+++ b/tests/downstream/test_downstream_streaming.py
@@ -12,7 +12,7 @@
 from flintridge.codec.memcache.encoder import FAILED_RESPONSE
 from flintridge.downstream.command_timer import COMMAND_TIMEOUT_MS
 from flintridge.downstream.lingering_close import SLOW_READER_TIMEOUT_MS
-from flintridge.downstream.value_memory import MEMORY_WAIT_MS
+from flintridge.downstream.value_memory import MAX_MEMORY_WAIT_MS, MEMORY_WAIT_FRACTION
 from flintridge.lab import virtual
 
 
@@ -95,7 +95,10 @@
                 LONG_WRITE.replace(b"Oa1", b"Oa2"), b"mn\r\n"
             )
             await asyncio.sleep(0.2)
-            harness.clock.advance(MEMORY_WAIT_MS)
+            harness.clock.advance(MEMORY_WAIT_FRACTION * 900 - 1)
+            await asyncio.sleep(0.2)
+            assert harness.core.memory_budget._waiting
+            harness.clock.advance(1)
             responses = b"SERVER_ERROR busy\r\nSERVER_ERROR starting\r\n"
             assert await rejected.readexactly(len(responses)) == responses  # framing is intact
             waiting, _ = await harness.stream_client(LONG_WRITE.replace(b"Oa1", b"Oa3"))
@@ -120,6 +123,34 @@
     virtual.run(test())
 
 
+@pytest.mark.parametrize(
+    ("options", "longest_ms"),
+    [
+        (b"c=put,d=900", 450),
+        (b"c=put,d=100", 50),
+        (b"c=put,d=4000", MAX_MEMORY_WAIT_MS),
+        (b"c=put", MAX_MEMORY_WAIT_MS),  # as long as its class allows
+    ],
+)
+def test_long_write_when_no_memory_is_free_then_is_rejected_while_its_client_still_waits(options, longest_ms):
+    """Guards against a rejection after the client has given up, when it cannot try elsewhere any more."""
+
+    async def test():
+        async with StreamingHarness(LENGTH + 1000) as harness:
+            assert harness.core.memory_budget.try_reserve(LENGTH)  # on behalf of another connection
+            reader, writer = await harness.stream_client(LONG_WRITE.replace(b"c=put,d=900", options))
+            await until(lambda: harness.core.memory_budget._waiting)
+            harness.clock.advance(longest_ms - 1)
+            await asyncio.sleep(0.2)
+            assert harness.core.memory_budget._waiting
+            harness.clock.advance(1)
+            assert await reader.readline() == b"SERVER_ERROR busy\r\n"
+            harness.core.memory_budget.release(LENGTH)
+            writer.close()
+
+    virtual.run(test())
+
+
 def test_long_write_when_its_id_is_in_use_then_releases_its_memory():
     async def test():
         async with StreamingHarness(3 * LENGTH) as harness:
--- a/tests/downstream/test_half_commands.py
+++ b/tests/downstream/test_half_commands.py
@@ -10,9 +10,10 @@
 from support.long_values import LENGTH, LONG_WRITE
 from support.network import until
 
-from flintridge.downstream.value_memory import MEMORY_WAIT_MS
+from flintridge.downstream.value_memory import MEMORY_WAIT_FRACTION
 
 DUE_MS = 3_000.0
+CLIENT_TIMEOUT_MS = 900.0  # `d` of the long writes
 NODE_STALL_MS = 150.0  # how long a node may stall before it writes
 NOT_FINISHED = b"CLIENT_ERROR command not finished in time\r\n"
 PARTIAL_READ = b"mg key7 v Oh1 Pc=read"
@@ -78,7 +79,7 @@
         async with DownstreamHarness(memory_bytes=LENGTH + 1000) as harness:
             assert harness.core.memory_budget.try_reserve(LENGTH)  # on behalf of another connection
             stopped = await stopped_client(harness, PARTIAL_IN_SEVERAL_READS)
-            await stopped.advance_until(MEMORY_WAIT_MS - 50)
+            await stopped.advance_until(MEMORY_WAIT_FRACTION * CLIENT_TIMEOUT_MS - 50)
             harness.core.memory_budget.release(LENGTH)
             assert await stopped.receive_until_due() == NOT_FINISHED
             assert harness.core.memory_budget.reserved == 0
@@ -98,7 +99,7 @@
             await until(lambda: not writer.transport.get_write_buffer_size())
             arrived_at = harness.clock.now()
             await until(lambda: harness.core.memory_budget._waiting)
-            harness.clock.advance(MEMORY_WAIT_MS - 50)
+            harness.clock.advance(MEMORY_WAIT_FRACTION * CLIENT_TIMEOUT_MS - 50)
             harness.core.memory_budget.release(length)
             await until(lambda: harness.request_count)
             (request,) = harness.core.open_requests
