Expect the next permit at the end of the limiter's pause if nothing is in flight

Cause: AdmissionQueue.expected_wait_ns took the mean interval between permits for the first one, whatever is left of the pause. Change: with nothing in flight, the first permit comes at the end of the pause, or now.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -1,4 +1,4 @@
-"""Admission queues: requests that wait for a permit of a concurrency limiter, ordered by priority.
+"""Admission queues: requests that wait for a permit of a concurrency limiter, and which is served next.
 
 A request waits for as long as its client can still be answered in time, whether it was attempted before or
 not, and whether it is its client's first try or a repeat. If the queue gets too long for all of them to be
@@ -61,7 +61,7 @@
         self.next_limiter = next_limiter
         self._entries: list[QueueEntry] = []  # sorted
         self._entry_of: dict[OpenRequest, QueueEntry] = {}
-        self._is_overloaded = False  # whether a request had to be rejected since the queue was last empty
+        self._is_overloaded = False  # whether the queue got too long since it was last empty
         self._scheduled_wake_up = 0  # the last instant that `admit` returned
 
     @property
@@ -147,8 +147,11 @@
             now: The current instant in nanoseconds.
             assumed_duration_ns: The duration of an attempt that is assumed if none has ended yet.
         """
-        interval_ns = self.limiter.permit_interval_ns(assumed_duration_ns)
-        return max((ahead + 1) * interval_ns, self.limiter.paused_until - now)
+        limiter = self.limiter
+        interval_ns = limiter.permit_interval_ns(assumed_duration_ns)
+        if limiter.inflight == 0:
+            return max(0, limiter.paused_until - now) + ahead * interval_ns
+        return (ahead + 1) * interval_ns
 
     def _mean_attempt_ns(self, request: OpenRequest) -> float:
         """Return how long an attempt takes on average, in nanoseconds; at most its time budget.
--- a/tests/policy/test_admission_queue.py
+++ b/tests/policy/test_admission_queue.py
@@ -90,6 +90,22 @@
     assert router.balancer.queues.caches.waiting == 8 and more[-1] not in router.final_responses
 
 
+def test_a_request_waits_for_the_end_of_a_pause_that_it_can_wait_for():
+    """Guards nodes with little traffic at a low limit, which would send hardly any request otherwise."""
+    router = limited_to_one()
+    limiter = router.balancer.cache_limiter
+    limiter.limit = 0.1
+    first = router.request("k0")
+    router.advance(100 * MS)
+    router.end_attempt(first, Outcome.CANCELLED, final=True)  # a pause of 900 ms begins
+    early = router.request("k1", deadline=router.now + 1000 * MS)
+    assert isinstance(router.final_responses[early], api.Reject)
+    router.advance(200 * MS)
+    waiting = router.request("k2", deadline=router.now + 1000 * MS)
+    router.advance(700 * MS)
+    assert router.attempts_made[waiting] == 1
+
+
 def test_the_request_with_the_most_time_left_gets_the_next_permit_until_an_overload_is_over():
     """Guards against sending each request at the last moment, when a miss or a slow response is too late."""
     router = limited_to_one()
@@ -245,9 +261,9 @@
     late, last = (open_request(over_quota=True, priority_weight=0.0) for _ in range(2))
     queue.push(last, -2)
     queue.push(late, -1)
-    queue.limiter.mean_duration_ns = 1e18
-    (shed,) = queue.shed(START)[:1]
-    queue.limiter.mean_duration_ns = 0.0
+    queue.limiter.mean_duration_ns, queue.limiter.limit, queue.limiter.inflight = 1.0 * S, 1.0, 1
+    (shed,) = queue.shed(START)
+    queue.limiter.mean_duration_ns, queue.limiter.limit, queue.limiter.inflight = 0.0, 1e9, 0
     assert queue.waiting == 1 and shed in (late, last)
 
 
--- a/tests/policy/test_retry_after.py
+++ b/tests/policy/test_retry_after.py
@@ -18,7 +18,7 @@
 
 
 def queue_of(waiting: int, **changes) -> AdmissionQueue:
-    limiter = ConcurrencyLimiter(4.0, mean_duration_ns=200 * MS)
+    limiter = ConcurrencyLimiter(4.0, mean_duration_ns=200 * MS, inflight=4)
     for name, value in changes.items():
         setattr(limiter, name, value)
     queue = AdmissionQueue(Upstream.CACHES, limiter)
@@ -35,8 +35,11 @@
         (3, {"limit": 8.0}, 100),
         (3, {"max_permits": 2}, 400),
         (3, {"mean_duration_ns": 0.0}, 1000),  # no attempt has ended: its time budget is assumed
-        (3, {"paused_until": START + 900 * MS}, 900),
+        (0, {"limit": 0.1, "inflight": 1}, 2000),  # an attempt, and the pause after it
+        (0, {"limit": 0.1, "inflight": 0, "paused_until": START + 300 * MS}, 300),
+        (2, {"limit": 0.1, "inflight": 0, "paused_until": START + 300 * MS}, 4300),
         (0, {"mean_duration_ns": 1.0}, 1),  # 0 would be no advice
+        (0, {"inflight": 0}, 1),  # there is a permit
         (3, {"limit": 0.001, "max_permits": math.inf}, 60_000),  # the maximum of the settings
     ],
 )
