--- a/flintridge/api/events.py
+++ b/flintridge/api/events.py
@@ -98,7 +98,7 @@
         key: The key of the object that it reads or writes; None if it has no key.
         write: Whether the request is a write.
         tenant: The tenant, as an index into `Settings.tenants`.
-        retry: Whether the client marked the request as a retry.
+        retry: Whether the client marked the request as a retry. No decision depends on it.
         work_ns: A rough estimate of the work at the server, in nanoseconds; None if unknown.
         size: The expected size of the response in bytes; None if unknown.
     """
