Keep one timer for a queue in place of one for each request that ever waited

Each request that waited set a timer for its latest start, which stayed until then, up to 2.4 s, after the request had gone.

Change: a queue has one timer, for the earliest latest start of all that wait (`expire`, `next_expiry`). A request that waits for another's fetch keeps its own, as it is not in the queue.

--- a/flintridge/policy/admission_queue.py
+++ b/flintridge/policy/admission_queue.py
@@ -63,6 +63,7 @@
         self._entry_of: dict[OpenRequest, QueueEntry] = {}
         self._is_overloaded = False  # whether the queue got too long since it was last empty
         self._scheduled_wake_up = 0  # the last instant that `admit` returned
+        self._scheduled_expiry = 0  # the last instant that `next_expiry` returned
 
     @property
     def waiting(self) -> int:
@@ -122,6 +123,40 @@
                 self._is_overloaded = True  # which changes the order
         return shed
 
+    def expire(self, now: int) -> list[OpenRequest]:
+        """Remove and return the requests that can no longer be sent in time."""
+        expired: list[OpenRequest] = []
+        while self._entries:
+            entry = self._earliest_entry()
+            if entry.latest_start > now:
+                break
+            request = entry.request
+            self._remove(request)
+            latest_start = self.latest_start(request)
+            if latest_start <= now:
+                expired.append(request)
+            else:
+                self._add(entry._replace(latest_start=latest_start))
+        return expired
+
+    def next_expiry(self, now: int) -> int | None:
+        """Return the instant in nanoseconds at which `expire` has to be called.
+
+        None if no request waits, or if an instant that is as early was returned before. Guards memory: there
+        are few timers, however many requests come and go.
+        """
+        if not self._entries:
+            return None
+        earliest = self._earliest_entry().latest_start
+        if now < self._scheduled_expiry <= earliest:
+            return None
+        self._scheduled_expiry = earliest
+        return earliest
+
+    def holds(self, request: OpenRequest) -> bool:
+        """Return whether a request waits for a permit, and not for another request's fetch."""
+        return request in self._entry_of
+
     def abandon(self, request: OpenRequest) -> None:
         """Remove a finished request, which may also have waited for another request's fetch."""
         request.queued_for = None
@@ -181,13 +216,26 @@
         entry = self._entry_of.pop(request)
         del self._entries[bisect_left(self._entries, entry)]
 
+    def _earliest_entry(self) -> QueueEntry:
+        """Return the entry with the earliest latest start; in each group, it is the first one."""
+        earliest = self._entries[0]
+        index = self._end_of_group(earliest)
+        while index < len(self._entries):
+            entry = self._entries[index]
+            if entry.latest_start < earliest.latest_start:
+                earliest = entry
+            index = self._end_of_group(entry)
+        return earliest
+
+    def _end_of_group(self, entry: QueueEntry) -> int:
+        """Return the index behind the entries with the same quota status and weight."""
+        return bisect_left(self._entries, (entry.is_over_quota, entry.negative_weight, math.inf))
+
     def _first_index(self) -> int:
         """Return the index of the entry that is served first."""
         if not self._is_overloaded:
             return 0
-        first = self._entries[0]
-        end_of_group = (first.is_over_quota, first.negative_weight, math.inf)
-        return bisect_left(self._entries, end_of_group) - 1
+        return self._end_of_group(self._entries[0]) - 1
 
     def _last_index(self) -> int:
         """Return the index of the entry that is served last."""
--- a/flintridge/policy/balancer.py
+++ b/flintridge/policy/balancer.py
@@ -123,22 +123,32 @@
         self._admit(queue)
         for unserved in queue.shed(self.now):
             self._reject_or_fail(unserved)
-        self._reject_if_late(request.event.id)
+        self._expire(queue)
+        if not queue.holds(request):
+            self._reject_follower_if_late(request.event.id)
 
-    def _reject_if_late(self, request_id: str) -> None:
-        """Reject a queued request that can no longer be served in time.
+    def _expire(self, queue: AdmissionQueue) -> None:
+        """Reject the requests of a queue that can no longer be sent in time, now and at the next expiry."""
+        for late in queue.expire(self.now):
+            self._reject_or_fail(late)
+        next_expiry = queue.next_expiry(self.now)
+        if next_expiry is not None:
+            self._set_timer(next_expiry, partial(self._expire, queue))
+
+    def _reject_follower_if_late(self, request_id: str) -> None:
+        """Reject a request that waits for another's fetch and can no longer be sent in time.
 
         Otherwise a timer repeats the check at the request's latest start.
         """
         request = self.open_requests.get(request_id)
         queue = None if request is None else self.queues.containing(request)
-        if request is None or queue is None or request.done:
+        if request is None or queue is None or request.done or queue.holds(request):
             return
         latest = queue.latest_start(request)
         if latest <= self.now:
             self._reject_or_fail(request)
         else:
-            self._set_timer(latest, partial(self._reject_if_late, request_id))
+            self._set_timer(latest, partial(self._reject_follower_if_late, request_id))
 
     def _admit_all(self) -> None:
         self._admit(self.queues.caches)
--- a/tests/policy/test_admission_queue.py
+++ b/tests/policy/test_admission_queue.py
@@ -90,6 +90,37 @@
     assert router.balancer.queues.caches.waiting == 8 and more[-1] not in router.final_responses
 
 
+def test_requests_that_come_and_go_leave_few_timers_behind():
+    """Guards memory: a crowd's rejected requests each left a timer until the end of their clients' time."""
+    router = limited_to_one()
+    router.balancer.cache_limiter.mean_duration_ns = 100 * MS
+    router.request("k0")
+    for i in range(500):
+        router.request(f"k{i}", deadline=router.now + 1000 * MS)
+        router.now += MS
+    assert len(router.final_responses) > 400 and router.balancer.queues.caches.waiting >= 1
+    assert len(router.balancer.timers) < 10
+    router.advance(1000 * MS)
+    assert not router.balancer.queues.caches.waiting
+
+
+def test_a_request_that_waits_expires_at_its_own_latest_start_whatever_its_place():
+    classes = (api.RequestClass(priority_weight=1.0), api.RequestClass(priority_weight=2.0))
+    router = limited_to_one(classes=classes)
+    router.balancer.cache_limiter.latencies_ns[1] = router.balancer.origin_limiter.latencies_ns[1] = 100 * MS
+    router.request("k0")
+    expected = []
+    for class_index, left_ms in ((1, 1900), (0, 1200), (1, 700), (0, 1500), (1, 1000)):
+        deadline = router.now + left_ms * MS
+        expected.append((left_ms - 200, router.request(f"k{left_ms}", class_index, deadline=deadline)))
+    start = router.now
+    for latest_ms, request_id in sorted(expected):
+        router.advance(start + latest_ms * MS - 1 - router.now)
+        assert request_id not in router.final_responses
+        router.advance(1)
+        assert isinstance(router.final_responses[request_id], api.Reject)
+
+
 def test_a_request_waits_for_the_end_of_a_pause_that_it_can_wait_for():
     """Guards nodes with little traffic at a low limit, which would send hardly any request otherwise."""
     router = limited_to_one()
