Log how far a value or a request got that a server did not complete, and waits for memory

Change: stream_broken has length, received, forwarded and silent_ms. New events value_abandoned (the same fields), request_not_read (the bytes that the kernel had not accepted) and value_waited_for_memory (how long, granted or not), with counters values_abandoned, attempts_not_read and values_waited_for_memory. The admission of announced values is a module of its own (downstream/value_admission.py).

--- a/flintridge/codec/long_value.py
+++ b/flintridge/codec/long_value.py
@@ -29,6 +29,11 @@
         self._chunks: list[bytes] = []
         self._last_byte = b""
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of the value have arrived."""
+        return self.length - self._bytes_missing
+
     def feed(self, data: bytes, terminator: bytes) -> bytes | None:
         """Process bytes of the value and of its terminator.
 
--- a/flintridge/core/response.py
+++ b/flintridge/core/response.py
@@ -107,6 +107,10 @@
     def length(self) -> int:
         """Total length in bytes."""
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of the value have arrived."""
+
     @property
     def result(self) -> AttemptResult:
         """The result, from what the server sent before the value."""
--- a/flintridge/downstream/admin_api.py
+++ b/flintridge/downstream/admin_api.py
@@ -63,7 +63,7 @@
                 raise  # otherwise `_abort` cancelled this task, which no other task awaits
         except Exception as error:
             self.counters.add("admin_api_errors")
-            self._log.error("admin_api_failed", error)
+            self.log.error("admin_api_failed", error)
         finally:
             self._callers.pop(writer, None)
             writer.close()
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -6,7 +6,6 @@
 from flintridge.codec.memcache.command_parser import CommandParser
 from flintridge.codec.memcache.commands import ValueAnnounced
 from flintridge.codec.memcache.encoder import encode_client_error, encode_rejection
-from flintridge.core.deadlines import client_timeout_ms
 from flintridge.downstream.client_presence import ClientPresence
 from flintridge.downstream.command_executor import CommandExecutor
 from flintridge.downstream.command_input import CommandInput
@@ -16,6 +15,7 @@
 from flintridge.downstream.pipeline import PendingResponse, ResponsePipeline
 from flintridge.downstream.reading_control import ReadingControl
 from flintridge.downstream.unread_responses import UnreadResponses
+from flintridge.downstream.value_admission import ValueAdmission
 from flintridge.runtime.clock import DeadlineExceededError
 from flintridge.runtime.streams import TrackingReader, peer_has_closed
 
@@ -63,6 +63,7 @@
         self._pipeline = ResponsePipeline()
         parser = CommandParser(owner.settings, owner.request_parser)
         self._input = CommandInput(reader, self._transport, parser, owner.clock, owner.core.memory_budget)
+        self._admission = ValueAdmission(owner, self._input)
         self._executor = CommandExecutor(owner, self._input, self._pipeline)
         assert reader.flow is not None
         self._orderly_close = OrderlyClose(writer, reader.flow, owner.clock, owner.counters)
@@ -253,8 +254,7 @@
 
     async def _admit_value(self, announced: ValueAnnounced) -> None:
         """Have the announced value read once memory is reserved for it, or skipped if there is none."""
-        timeout_ms = client_timeout_ms(announced.request, self._owner.core.settings.classes)
-        granted = await self._input.reserve_memory(announced.length, timeout_ms)
+        granted = await self._admission.reserve(announced)
         if self._closed or self._orderly_close.started:
             self._input.value_memory.release()
             return
--- a/flintridge/downstream/connection_owner.py
+++ b/flintridge/downstream/connection_owner.py
@@ -10,6 +10,7 @@
 from flintridge.downstream.command_turns import CommandTurns
 from flintridge.downstream.eviction import ConnectionT, EvictionOrder
 from flintridge.runtime.clock import Clock
+from flintridge.telemetry.log import EventLog
 
 
 class ConnectionOwner(ExecutorOwner, Protocol[ConnectionT]):
@@ -18,6 +19,7 @@
     Attributes:
         settings: The node's settings.
         clock: The node's clock, in float milliseconds.
+        log: The node's event log.
         eviction_order: The order in which connections are evicted.
         empty_parser: A shared parser for connections that read no more commands.
         request_parser: The parser of requests, which all connections share.
@@ -26,6 +28,7 @@
 
     settings: Settings
     clock: Clock
+    log: EventLog
     eviction_order: EvictionOrder[ConnectionT]
     empty_parser: CommandParser
     request_parser: RequestParser
--- a/flintridge/downstream/listener.py
+++ b/flintridge/downstream/listener.py
@@ -118,7 +118,7 @@
             await connection.serve()
         except Exception as error:
             self.counters.add("connection_errors")
-            self._log.error("connection_failed", error)
+            self.log.error("connection_failed", error)
         finally:
             self.connections.remove(connection)
             self._finish_drain_if_empty()
@@ -191,7 +191,7 @@
 
     def _finish_drain_if_empty(self) -> None:
         if not self.connections and self.shutdown.connections_closed(self.clock.now()):
-            self._log.event("drained")
+            self.log.event("drained")
 
     # Termination
 
--- a/flintridge/downstream/listening_service.py
+++ b/flintridge/downstream/listening_service.py
@@ -16,6 +16,7 @@
     Attributes:
         clock: The node's clock, in float milliseconds.
         counters: The node's counters.
+        log: The node's event log.
     """
 
     def __init__(self, clock: Clock, log: EventLog, counters: Counters, *, shared: bool) -> None:
@@ -29,7 +30,7 @@
         """
         self.clock = clock
         self.counters = counters
-        self._log = log
+        self.log = log
         self._shared = shared
         self._listener: Listener | None = None
 
@@ -43,7 +44,7 @@
             ListenError: The listener can't be opened.
         """
         self._listener = await open_listener(
-            self._serve, address, self._shared, self.clock, self._log, self.counters
+            self._serve, address, self._shared, self.clock, self.log, self.counters
         )
         return self._listener.port
 
--- a/flintridge/upstream/connection.py
+++ b/flintridge/upstream/connection.py
@@ -88,6 +88,8 @@
         quarantined_until: The connection must not be reused before this instant.
         request_begun: Whether the kernel accepted any byte of the last exchange's request.
         request_written: Whether that request was written completely.
+        unwritten_bytes: How many bytes of that request the kernel had not accepted when its writing
+            was cancelled; 0 otherwise.
         reused: Whether the connection was idle before the current exchange.
         idle_before_use_ms: How long it was idle before the current exchange; 0 for a new connection.
         bytes_read_before_use: Number of bytes read before the current exchange.
@@ -100,6 +102,7 @@
     quarantined_until: float = 0.0
     request_begun: bool = False
     request_written: bool = False
+    unwritten_bytes: int = 0
     reused: bool = False
     idle_before_use_ms: float = 0.0
     bytes_read_before_use: int = 0
@@ -140,6 +143,7 @@
         """
         self.request_begun = False
         self.request_written = False
+        self.unwritten_bytes = 0
         writing = self._write(exchange, clock, check_may_begin)
         if write_deadline < math.inf:
             await with_timeout(clock, write_deadline - clock.now(), writing)
@@ -180,8 +184,8 @@
             # The timeout can occur in the same loop iteration in which the last byte was written, before this
             # task resumes. The server may execute that request, so it must not count as never sent.
             transport = self.writer.transport
-            unwritten_bytes = bytes_to_pass + transport.get_write_buffer_size()
-            self.request_written = not transport.is_closing() and not unwritten_bytes
+            self.unwritten_bytes = bytes_to_pass + transport.get_write_buffer_size()
+            self.request_written = not transport.is_closing() and not self.unwritten_bytes
             raise
 
     async def _write_pieces(
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -164,8 +164,8 @@
         except DeadlineExceededError:
             if progress.request_written:
                 progress.result = AttemptResult(Outcome.TIMEOUT)
-            elif progress.connection is not None and not progress.connection.request_begun:
-                progress.result = AttemptResult(Outcome.WITHDRAWN)  # the local kernel accepted no byte of it
+            elif progress.connection is not None:
+                self._record_unwritten(attempt, progress, progress.connection)
         except AttemptWithdrawnError:
             self._counters.add("attempts_expired_unsent")
             progress.result = AttemptResult(Outcome.WITHDRAWN)
@@ -309,6 +309,18 @@
         if connection is not None and not connection.writer.transport.get_write_buffer_size():
             self._release(server, progress)
 
+    def _record_unwritten(
+        self, attempt: UpstreamAttempt, progress: _Progress, connection: UpstreamConnection
+    ) -> None:
+        """Record an attempt whose request was not written completely in time."""
+        if not connection.request_begun:
+            progress.result = AttemptResult(Outcome.WITHDRAWN)  # the local kernel accepted no byte of it
+            return
+        self._counters.add("attempts_not_read")
+        self._log.event(
+            "request_not_read", server=attempt.server, id=attempt.id, unwritten=connection.unwritten_bytes
+        )
+
     def _record_local_failure(self, attempt: UpstreamAttempt, error: BaseException | None) -> None:
         """Count and log that the local machine could not send an attempt."""
         assert isinstance(error, OSError)
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -8,6 +8,7 @@
 before it is complete only if nothing behind it was read, and nothing more is read until it is complete.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from types import TracebackType
 
@@ -101,6 +102,7 @@
         self._first_received_at = services.clock.now()
         self._last_received_at = self._first_received_at
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
+        self._forwarded_bytes = 0
         self._is_long = self._value.length > LONG_VALUE_BYTES
         self._must_be_whole = False
 
@@ -129,16 +131,25 @@
             OSError: The server's connection broke.
         """
         self._must_be_whole = not self._is_long or not self._attempt.hold_later_commands()
-        if self._try_reserve():
-            assert self._buffer is not None
-            if not self._is_long:
-                await self._collect_short_value(self._buffer)
-            elif self._must_be_whole:
-                await self._collect_or_pass_on(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
-            else:
-                await self._collect_part(self._buffer)
+        try:
+            await self._receive_before_response()
+        except (OSError, DeadlineExceededError) as error:
+            self._services.counters.add("values_abandoned")
+            self._log_failure("value_abandoned", error)
+            raise
         return self._result or self._value.result
 
+    async def _receive_before_response(self) -> None:
+        if not self._try_reserve():
+            return
+        assert self._buffer is not None
+        if not self._is_long:
+            await self._collect_short_value(self._buffer)
+        elif self._must_be_whole:
+            await self._collect_or_pass_on(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
+        else:
+            await self._collect_part(self._buffer)
+
     def take_short_value(self) -> bytes | None:
         """Take the value if it is not long and was received whole; None otherwise."""
         if self._is_long or self._buffer is None:
@@ -248,7 +259,8 @@
         except (OSError, DeadlineExceededError) as error:
             # The connection's reader keeps the error; its traceback's frames would keep the value in memory.
             error.with_traceback(None)
-            self._record_broken(error)
+            self._services.counters.add("streams_broken")
+            self._log_failure("stream_broken", error)
         finally:
             if complete:
                 response.end()
@@ -292,20 +304,33 @@
             self._connection.set_read_limit(VALUE_READ_BYTES)
         while True:
             await response.wait_writable()
-            response.write(self._value.take_chunks())
+            self._forward_chunks(response, self._value.take_chunks())
             if self._result is not None:
                 return self._valid_so_far
             receiving = self._connection.receive(self._exchange)
             self._result = await with_timeout(self._services.clock, SERVER_STALL_MS, receiving)
+            self._last_received_at = self._services.clock.now()
+
+    def _forward_chunks(self, response: StreamedResponse, chunks: Sequence[bytes | bytearray]) -> None:
+        response.write(chunks)
+        self._forwarded_bytes += sum(map(len, chunks))
 
     async def _write_collected(self, response: StreamedResponse) -> None:
         if self._buffer is None:
             return
         while (segment := self._buffer.take_segment()) is not None:
-            response.write([segment])
+            self._forward_chunks(response, [segment])
             await response.wait_writable()
 
-    def _record_broken(self, error: Exception) -> None:
-        attempt = self._attempt
-        self._services.counters.add("streams_broken")
-        self._services.log.event("stream_broken", server=attempt.server, id=attempt.id, error=repr(error))
+    def _log_failure(self, event: str, error: Exception) -> None:
+        """Log that the server did not complete the value, and how far it got."""
+        self._services.log.event(
+            event,
+            server=self._attempt.server,
+            id=self._attempt.id,
+            error=repr(error),
+            length=self._value.length,
+            received=self._value.received_bytes,
+            forwarded=self._forwarded_bytes,
+            silent_ms=round(self._services.clock.now() - self._last_received_at),
+        )
--- a/tests/downstream/test_downstream_streaming.py
+++ b/tests/downstream/test_downstream_streaming.py
@@ -101,6 +101,7 @@
             harness.clock.advance(1)
             responses = b"SERVER_ERROR busy\r\nSERVER_ERROR starting\r\n"
             assert await rejected.readexactly(len(responses)) == responses  # framing is intact
+            assert harness.counters["values_waited_for_memory"] == 1
             waiting, _ = await harness.stream_client(LONG_WRITE.replace(b"Oa1", b"Oa3"))
             await asyncio.sleep(0.2)
             half_writer.write(LONG_WRITE[5000:])
