--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -54,9 +54,10 @@
         memory_mb: float = 192,
         sockets: int = 256,
     ) -> None:
+        """Write the configuration. In `peers`, a server's kind is its name up to the first dash."""
         members = [
-            {"id": name, "host_port": f"127.0.0.1:{peer.port}", "flavor": name, "phase": "in_service"}
-            for name, peer in peers.items()
+            {"id": name, "host_port": f"127.0.0.1:{peer.port}", "flavor": flavor, "phase": "in_service"}
+            for name, flavor, peer in ((name, name.partition("-")[0], peer) for name, peer in peers.items())
         ]
         self.config = tmp_path / "config.json"
         config = {
