Begin a response only with the first byte of its value, so that a silent server is retried in time

Cause: 20 ms after the head the response was started (start_stream), which counts the request as answered: its deadline, the attempt's time and retries no longer apply. But nothing is written before the first byte of the value, and only the limit on a server's pause within a value (10 s) remained. Values of 2 to 64 KiB were alike if no memory was free. Change: LongValueDelivery receives the first byte of a value before the response begins, by the attempt's deadline, or 500 ms after the head if that is later and leaves half of the client's time. Then the request has its final response in time, and a read is retried elsewhere, at every place on its connection and with or without memory. It works because nothing counts as answered any more that has not a byte to write.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -99,8 +99,9 @@
         self._result = result
         self._services = services
         self._buffer: ValueBuffer | None = None
-        self._first_received_at = services.clock.now()
-        self._last_received_at = self._first_received_at
+        self._head_received_at = services.clock.now()
+        self._first_received_at = self._head_received_at
+        self._last_received_at = self._head_received_at
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
         self._forwarded_bytes = 0
         self._is_long = self._value.length > LONG_VALUE_BYTES
@@ -123,6 +124,8 @@
     async def receive(self) -> AttemptResult:
         """Receive as much of the value as is needed before the response may begin.
 
+        At least the first byte of the value is received, so that the response begins with it.
+
         Returns:
             The attempt's result; if it is OK, the response may begin.
 
@@ -140,12 +143,17 @@
         return self._result or self._value.result
 
     async def _receive_before_response(self) -> None:
-        if not self._try_reserve():
+        reserved = self._try_reserve()
+        if reserved and not self._is_long:
+            assert self._buffer is not None
+            await self._collect_short_value(self._buffer)
+            return
+        # Once the response has begun, no deadline applies to it, and no retry.
+        await self._receive_first_bytes()
+        if not reserved:
             return
         assert self._buffer is not None
-        if not self._is_long:
-            await self._collect_short_value(self._buffer)
-        elif self._must_be_whole:
+        if self._must_be_whole:
             await self._collect_or_pass_on(MAX_HOLD_BEFORE_REQUESTS_MS, self._buffer)
         else:
             await self._collect_part(self._buffer)
@@ -168,10 +176,33 @@
         self._buffer = ValueBuffer(budget, self._value.length)
         return True
 
+    async def _receive_first_bytes(self) -> None:
+        """Receive until a byte of the value has arrived.
+
+        A server that has sent the head gets some time beyond the attempt's deadline, but leaves half of the
+        time for a retry.
+
+        Raises:
+            DeadlineExceededError: None has arrived in time.
+            OSError: The server's connection broke.
+        """
+        clock = self._services.clock
+        time_left_ms = self._attempt.response_due - self._head_received_at
+        patience_ms = min(PROGRESS_MS, time_left_ms / 2)
+        give_up_at = max(self._attempt.deadline, self._head_received_at + patience_ms)
+        receiving = self._receive_until_begun()
+        await with_timeout(clock, give_up_at - clock.now(), receiving)
+
+    async def _receive_until_begun(self) -> None:
+        while not self._value.received_bytes and self._result is None:
+            self._result = await self._connection.receive(self._exchange)
+        self._last_received_at = self._services.clock.now()
+
     async def _collect_part(self, buffer: ValueBuffer) -> None:
         """Collect what arrives before the response has to begin; the value may then be incomplete."""
+        held_ms = self._services.clock.now() - self._head_received_at
         try:
-            await self._collect_for(MAX_HOLD_MS, buffer)
+            await self._collect_for(MAX_HOLD_MS - held_ms, buffer)
         except DeadlineExceededError:
             self._services.counters.add("long_values_withheld_in_part")
 
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -97,19 +97,26 @@
             writer.write(b"\r\n")
 
 
-async def receive_slow_value(length: int, written_pieces: int, behind: bool) -> StreamingHarness:
-    """Attempt a read at a SlowServer that writes 20 pieces, with or without a command behind it."""
+async def receive_slow_value(
+    length: int, written_pieces: int, behind: bool, memory_bytes: int = 1 << 20, watch_s: float = 20.0
+) -> StreamingHarness:
+    """Attempt a read at a SlowServer that writes 20 pieces, with or without a command behind it.
+
+    The attempt has 600 ms, and is watched for `watch_s` of virtual time.
+    """
     server = SlowServer(length, 20, written_pieces)
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     clock = SystemClock(asyncio.get_running_loop())
     port = listener.sockets[0].getsockname()[1]
-    harness = StreamingHarness(port, clock=clock, value_memory_bytes=1 << 20)
+    harness = StreamingHarness(port, clock=clock, value_memory_bytes=memory_bytes)
     attempt = harness.make_attempt(wait=600.0, response_due=20_000.0)
     attempt.hold_later_commands = lambda: not behind
     harness.dispatcher.start(attempt)
-    await asyncio.sleep(20)  # of virtual time
+    await asyncio.sleep(watch_s)
+    outcomes = harness.outcomes
     await harness.dispatcher.close()
     listener.close()
+    assert harness.outcomes == outcomes  # the attempt had ended before
     return harness
 
 
@@ -125,6 +132,16 @@
     assert harness.started_lengths == [] and harness.outcomes == [Outcome.TIMEOUT]
 
 
+@pytest.mark.parametrize("memory_bytes", [1 << 20, STREAM_WINDOW_BYTES])
+@pytest.mark.parametrize("behind", [False, True])
+@pytest.mark.parametrize("length", [SHORT_LENGTH, LONG_LENGTH])
+def test_value_when_its_server_sends_the_head_alone_then_its_response_does_not_begin(
+    length, behind, memory_bytes
+):
+    harness = virtual.run(receive_slow_value(length, 0, behind, memory_bytes, watch_s=0.65))
+    assert harness.outcomes == [Outcome.TIMEOUT] and harness.started_lengths == []
+
+
 @pytest.mark.parametrize("written_pieces", [20, 3])
 def test_short_value_when_its_server_writes_slowly_then_is_not_cut_off_unless_it_stops(written_pieces):
     harness = virtual.run(receive_slow_value(SHORT_LENGTH, written_pieces, behind=True))
