--- a/flintridge/downstream/value_admission.py
+++ b/flintridge/downstream/value_admission.py
@@ -50,14 +50,14 @@
         """
         timeout_ms = client_timeout_ms(announced.request, self._owner.settings.classes)
         granted = await self._input.reserve_memory(announced.length, timeout_ms)
-        waited_ms = self._input.value_memory.wait_ms
+        waited_ms = round(self._input.value_memory.wait_ms)
         if waited_ms or not granted:
             self._owner.counters.add("values_waited_for_memory")
             self._owner.log.event(
                 "value_waited_for_memory",
                 id=announced.request.id.decode("ascii", "replace"),
                 length=announced.length,
-                waited_ms=round(waited_ms),
+                waited_ms=waited_ms,
                 granted=granted,
             )
         return granted
