--- a/tests/downstream/test_input_arrival.py
+++ b/tests/downstream/test_input_arrival.py
@@ -2,7 +2,7 @@
 
 from support.network import ManualClock
 
-from flintridge.downstream.input_arrival import InputArrival
+from flintridge.downstream.input_arrival import BACKLOG_BYTES, CATCH_UP_MS, InputArrival
 
 READ_BYTES = 10
 
@@ -103,3 +103,41 @@
         clock.advance(10.0)
     # It was beyond the bytes that waited eleven reads ago.
     assert connection.read(waiting_bytes=10 * READ_BYTES) == clock.now() - 11 * 10.0
+
+
+def test_input_when_much_waited_in_a_pause_then_what_follows_may_have_been_held_back_as_long():
+    clock = LateClock()
+    connection = Input(clock)
+    paused_at = clock.now()
+    connection.read()
+    clock.advance(500.0)
+    assert connection.read(is_reading=False, waiting_bytes=BACKLOG_BYTES) == paused_at
+    for _ in range(3_000):  # all bytes that waited, and more that its client's kernel held back
+        clock.advance(0.02)
+        assert connection.read(waiting_bytes=READ_BYTES) == paused_at
+
+
+def test_input_when_little_waits_for_some_time_after_a_pause_then_is_new_again():
+    clock = LateClock()
+    connection = Input(clock)
+    paused_at = clock.now()
+    connection.read()
+    clock.advance(500.0)
+    connection.read(is_reading=False, waiting_bytes=BACKLOG_BYTES)
+    connection.position += BACKLOG_BYTES
+    assert connection.read() == paused_at
+    clock.advance(CATCH_UP_MS - 1.0)
+    assert connection.read() == paused_at
+    clock.advance(1.0)
+    assert connection.read() == clock.now()
+
+
+def test_input_when_much_arrives_at_once_on_an_idle_connection_then_is_as_new_as_its_first_bytes():
+    clock = LateClock()
+    connection = Input(clock)
+    connection.read()
+    clock.advance(2_000.0)
+    arrived_at = clock.now()
+    assert connection.read(waiting_bytes=BACKLOG_BYTES) == arrived_at
+    clock.advance(1.0)
+    assert connection.read(waiting_bytes=BACKLOG_BYTES) == arrived_at
