Soak the node with faults at any point of a request or a response, and pipelined commands

The judge, in all modes: a value up to 64 KiB has to be whole in time, the first byte of a longer one; a value must not be cut off while its server writes it; a command that a server received must be answered.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import concurrent.futures
+import itertools
 import os
 import sys
 import tempfile
@@ -18,11 +19,11 @@
 from support.soak import Result, Soak
 
 
-def run(seed: int) -> Result:
+def run(seed: int, message_faults: bool) -> Result:
     """Play one seed in this process."""
     with tempfile.TemporaryDirectory() as folder:
         os.environ["TMPDIR"] = folder
-        return asyncio.run(Soak(seed, Path(folder)).run())
+        return asyncio.run(Soak(seed, Path(folder), message_faults).run())
 
 
 def main() -> int:
@@ -30,12 +31,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="0-9", help="the first and the last seed")
     parser.add_argument("--jobs", type=int, default=4, help="runs at a time")
+    parser.add_argument(
+        "--message-faults", action="store_true", help="faults begin at any point of a request or a response"
+    )
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     broken = requests = rejected = 0
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        for seed, result in zip(seeds, pool.map(run, seeds), strict=True):
+        results = pool.map(run, seeds, itertools.repeat(arguments.message_faults))
+        for seed, result in zip(seeds, results, strict=True):
             requests += result.requests
             rejected += result.rejected
             broken += bool(result.findings)
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -14,9 +14,12 @@
 from support.network import ScriptedServer
 from support.program import Program
 from support.soak_clients import Client, Judge, leave_early
+from support.soak_message_faults import PointFaultCache, PointFaultOrigin
+from support.soak_pipelines import PipeliningClient
 from support.soak_servers import DisturbedCache, DisturbedOrigin, Received
 
 CLIENTS = 8
+PIPELINING_CLIENTS = 4  # only where faults begin at any point of a message
 KILL_AFTER_TERM_S = 0.7 + 3.0  # the earliest: the longest deadline, at most 3 s, and 0.7 s
 CROWDS = (
     crowd.half_value,
@@ -82,7 +85,15 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, message_faults: bool = False) -> None:
+        """Draw the plan of a run.
+
+        Args:
+            seed: Draws everything that varies.
+            folder: Where the node's processes have their files.
+            message_faults: Whether the servers' faults begin at any point of a message.
+        """
+        self._message_faults = message_faults
         self._rng = random.Random(seed)
         self._plan = Plan.draw(self._rng)
         self._folder = folder
@@ -96,8 +107,10 @@
 
     async def run(self) -> Result:
         """Play the run and judge it."""
-        cache = DisturbedCache(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
-        origin = DisturbedOrigin(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        cache_class = PointFaultCache if self._message_faults else DisturbedCache
+        origin_class = PointFaultOrigin if self._message_faults else DisturbedOrigin
+        cache = cache_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        origin = origin_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
         await cache.start()
         await origin.start()
         tasks: list[asyncio.Task[None]] = [asyncio.create_task(self._received.watch_stalls())]
@@ -108,6 +121,12 @@
                 for _ in range(CLIENTS):
                     client = Client(self._port, random.Random(self._rng.random()), self._judge)
                     tasks.append(asyncio.create_task(client.run()))
+                if self._message_faults:
+                    for _ in range(PIPELINING_CLIENTS):
+                        pipelining = PipeliningClient(
+                            self._port, random.Random(self._rng.random()), self._judge
+                        )
+                        tasks.append(asyncio.create_task(pipelining.run()))
                 leaving = leave_early(self._port, random.Random(self._rng.random()), self._judge)
                 tasks.append(asyncio.create_task(leaving))
                 for ending in self._plan.endings:
@@ -163,7 +182,7 @@
             self._judge.killed_at = math.inf  # until it has ended, the kernel accepts connections for it
             process.kill()
             await process.wait()
-            self._judge.killed_at = time.monotonic()
+            self._judge.killed_at = self._judge.ended_at = time.monotonic()
             return await self._start(servers, discovery)
         successor = None
         if ending == "upgrade":
@@ -179,6 +198,7 @@
         else:
             if process.returncode:
                 self._judge.findings.append(f"exit code {process.returncode} after SIGTERM")
+        self._judge.ended_at = time.monotonic()
         return successor or await self._start(servers, discovery)
 
     def _check_memory(self, program: Program) -> None:
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -9,6 +9,7 @@
 from support.soak_servers import HOST, Received, value_of
 
 TIMEOUT_MS = 1_200
+LONG_VALUE_BYTES = 64 * 1024
 LATEST_RESPONSE_S = TIMEOUT_MS / 1000 + 0.5  # later, or never, the request is lost
 _numbers = itertools.count(1)
 
@@ -28,6 +29,8 @@
         self.rejected = 0
         self.left: dict[str, float] = {}  # the instant at which the client of each request left
         self.killed_at = float("-inf")  # when a process was last killed without notice
+        self.ended_at = float("-inf")  # when a process last ended in any way
+        self.broken_off: dict[str, float] = {}  # when each value ended that was not whole
         self._received = received
         self._rejected_writes: set[str] = set()
 
@@ -51,6 +54,15 @@
         self.requests += 1
         self.findings.append(f"{request_id} lost: {how}")
 
+    def was_attempted(self, request_id: str) -> bool:
+        """Whether a server received the request."""
+        return any(one == request_id for _, one in self._received.attempts)
+
+    def value_broken_off(self, request_id: str) -> None:
+        """Record a value that began and did not come whole, unless the process of the node has just ended."""
+        if time.monotonic() > self.ended_at + 1.0:
+            self.broken_off[request_id] = time.monotonic()
+
     def close(self) -> None:
         """Judge what the servers received."""
         for request_id, count in self._received.executed.items():
@@ -58,6 +70,8 @@
                 self.findings.append(f"write {request_id} ran {count} times")
             if request_id in self._rejected_writes:
                 self.findings.append(f"write {request_id} ran and was rejected")
+        for request_id in self.broken_off.keys() & self._received.closed_while_writing:
+            self.findings.append(f"the value of {request_id} was cut off while its server was writing it")
         allowed_s = 0.1 + self._received.longest_stall_s
         for at, request_id in self._received.attempts:
             left_at = self.left.get(request_id)
@@ -110,16 +124,18 @@
         await self._connect()
         assert self._reader is not None
         assert self._writer is not None
-        line = b""
+        line = value = b""
         try:
             self._writer.write(command)
             await self._writer.drain()
             async with asyncio.timeout(LATEST_RESPONSE_S) as limit:
                 line = await self._reader.readuntil(b"\r\n")
-                value = b""
                 if line.startswith(b"VA "):
-                    limit.reschedule(limit.when() + 10.0)  # the server may write a long value slowly
-                    value = (await self._reader.readexactly(int(line.split()[1]) + 2))[:-2]
+                    length = int(line.split()[1])
+                    value = await self._reader.readexactly(1)
+                    if length > LONG_VALUE_BYTES:  # its first bytes are timed, and its server may be slow
+                        limit.reschedule(limit.when() + 10.0)
+                    value += (await self._reader.readexactly(length + 1))[:-2]
         except TimeoutError:
             what = f"{'write' if is_write else 'read'} of {key}"
             self._judge.unanswered(request_id, f"{what}: no response within {LATEST_RESPONSE_S} s")
@@ -128,6 +144,7 @@
         except (OSError, asyncio.IncompleteReadError) as error:
             self._ends.append(f"{key} {'write' if is_write else 'read'} {error!r} at {time.monotonic():.3f}")
             if line:  # a long value that its server did not complete: the client can tell
+                self._judge.value_broken_off(request_id)
                 self._disconnect()
                 return True
             return False
--- a/tests/support/soak_servers.py
+++ b/tests/support/soak_servers.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 HOST = "127.0.0.1"
-VALUE_BYTES = {"kept": 4, "tiny": 4, "short": 30_000, "long": 150_000}
+VALUE_BYTES = {"kept": 4, "tiny": 4, "short": 30_000, "long": 150_000, "huge": 700_000}
 PIECES = 8
 RESET = struct.pack("ii", 1, 0)
 
@@ -26,11 +26,14 @@
     Attributes:
         attempts: The instant at which each attempt began to arrive, with the id of its request.
         executed: How often each write was executed, by its id.
+        closed_while_writing: The requests whose responses a server was still writing when the node closed the
+            connection.
         longest_stall_s: The longest time for which this process did not run its event loop.
     """
 
     attempts: list[tuple[float, str]] = field(default_factory=list)
     executed: dict[str, int] = field(default_factory=dict)
+    closed_while_writing: set[str] = field(default_factory=set)
     longest_stall_s: float = 0.0
 
     async def watch_stalls(self) -> None:
