Close the connection to a server within a value as soon as its client has left

Cache servers hold few connections, and each one holds memory of the node as well. Cause: while a value is forwarded, only a write notices that the client has left. Between two pieces of a silent server there is none, so the connection stayed until the limit on a server's pause (10 s). Change: the end of a client's connection is passed on to the delivery of its value (StreamedResponse.on_client_closed), which closes the server's connection if the value is not complete; a complete one may have released it to the pool. In virtual time nothing reports the end of a connection that is not read, so the tests run on sockets only.

--- a/flintridge/core/response.py
+++ b/flintridge/core/response.py
@@ -1,6 +1,6 @@
 """Responses: the results of attempts at servers, and the interface that delivers the final response."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -45,7 +45,13 @@
 
 
 class StreamedResponse(Protocol):
-    """A long value that is written to the client in chunks. Exactly one of `end` and `abort` is called."""
+    """A long value that is written to the client in chunks. Exactly one of `end` and `abort` is called.
+
+    Attributes:
+        on_client_closed: Called when the client's connection has ended before the response.
+    """
+
+    on_client_closed: Callable[[], None]
 
     async def wait_writable(self) -> None:
         """Wait until more chunks may be written.
--- a/flintridge/downstream/connection.py
+++ b/flintridge/downstream/connection.py
@@ -404,5 +404,5 @@
             if pending.open_request_id is not None and pending.buffers is None:
                 self._owner.core.client_disconnected(pending.open_request_id)
             if pending.stream is not None:
-                pending.stream.start()
+                pending.stream.abandon()
         self._input.value_memory.release()
--- a/flintridge/downstream/streaming.py
+++ b/flintridge/downstream/streaming.py
@@ -1,7 +1,7 @@
 """Long values streamed to a client in the order of its commands, no faster than the client reads."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from flintridge.core.response import DownstreamClosedError
@@ -32,8 +32,16 @@
         """Fail the request; nothing of the value was written."""
 
 
+def _ignore_client_closed() -> None:
+    """Default: nobody waits for chunks of the value."""
+
+
 class ClientStream:
-    """A long value that is streamed to a client once `start` was called."""
+    """A long value that is streamed to a client once `start` was called.
+
+    Attributes:
+        on_client_closed: See `StreamedResponse.on_client_closed`.
+    """
 
     def __init__(self, channel: StreamChannel, head: bytes) -> None:
         """Prepare a stream.
@@ -45,10 +53,16 @@
         self._channel = channel
         self._head = head
         self._started = asyncio.Event()
+        self.on_client_closed: Callable[[], None] = _ignore_client_closed
 
     def start(self) -> None:
-        """Allow writing: all earlier responses are written, or the connection has ended."""
+        """Allow writing: all earlier responses are written."""
+        self._started.set()
+
+    def abandon(self) -> None:
+        """Record that the client's connection has ended."""
         self._started.set()
+        self.on_client_closed()
 
     async def wait_writable(self) -> None:
         """Wait until the stream was started and the client has read most of what was written.
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -104,6 +104,7 @@
         self._last_received_at = self._head_received_at
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
         self._forwarded_bytes = 0
+        self._client_closed = False
         self._is_long = self._value.length > LONG_VALUE_BYTES
         self._must_be_whole = False
 
@@ -278,6 +279,7 @@
             response: The response to the client; its `end` or `abort` is called.
         """
         complete = False
+        response.on_client_closed = self._stop_receiving
         try:
             await response.wait_writable()
             if self._buffer is None:
@@ -290,8 +292,7 @@
         except (OSError, DeadlineExceededError) as error:
             # The connection's reader keeps the error; its traceback's frames would keep the value in memory.
             error.with_traceback(None)
-            self._services.counters.add("streams_broken")
-            self._log_failure("stream_broken", error)
+            self._record_broken_stream(error)
         finally:
             if complete:
                 response.end()
@@ -353,6 +354,19 @@
             self._forward_chunks(response, [segment])
             await response.wait_writable()
 
+    def _stop_receiving(self) -> None:
+        """Close the server's connection within a value that nobody waits for any more."""
+        self._client_closed = True
+        if self._result is None:
+            self._connection.writer.transport.abort()
+
+    def _record_broken_stream(self, error: Exception) -> None:
+        if self._client_closed:
+            self._services.counters.add("streams_client_closed")
+            return
+        self._services.counters.add("streams_broken")
+        self._log_failure("stream_broken", error)
+
     def _log_failure(self, event: str, error: Exception) -> None:
         """Log that the server did not complete the value, and how far it got."""
         self._services.log.event(
--- a/tests/support/breaking_servers.py
+++ b/tests/support/breaking_servers.py
@@ -32,12 +32,14 @@
         breaks_left: How many more values break.
         orders: The keys of the executed writes, in order.
         reads: The keys of the reads, in order.
+        ended_connections: How many connections the node has ended.
     """
 
     def __init__(self, how: Callable[[], Break], breaks: int) -> None:
         self.breaks_left = breaks
         self.orders: list[str] = []
         self.reads: list[str] = []
+        self.ended_connections = 0
         self._how = how
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -56,6 +58,7 @@
             while await self._respond(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, OSError):
+            self.ended_connections += 1
             writer.close()
 
     async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -80,6 +80,7 @@
         self.open = asyncio.Event()
         self.open.set()
         self.ended: str | None = None
+        self.on_client_closed = lambda: None
 
     async def wait_writable(self) -> None:
         await self.open.wait()
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -104,6 +104,25 @@
     play(test)
 
 
+@pytest.mark.parametrize("key", [BROKEN_KEY, MISSING_KEY], ids=["cache", "origin"])
+def test_value_when_its_client_leaves_while_the_server_is_silent_then_its_connection_is_closed(key):
+    async def test():
+        async with BreakingFleet(Break.HANG, breaks=EVERY) as fleet:
+            client = await fleet.connect()
+            client.writer.write(read(key, "x"))
+            server = fleet.cache if key == BROKEN_KEY else fleet.origin
+            await until(lambda: fleet.node.dispatcher.value_memory.reserved)
+            fleet.clock.advance(MAX_HOLD_MS)
+            await until(lambda: fleet.counters["responses_streamed"])
+            client.writer.transport.abort()
+            await fleet.advance_until(lambda: server.ended_connections, limit_ms=1_000)
+            assert fleet.counters["streams_client_closed"] == 1
+            assert fleet.counters["streams_broken"] == 0
+            client.close()
+
+    asyncio.run(test())  # the kernel is asked for the end of a connection that is not read
+
+
 def test_value_when_it_is_withheld_as_its_response_becomes_due_then_is_forwarded_in_time(play):
     # Guards against withholding the first bytes of a slow server's value until its request is overdue.
     async def test():
