--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -180,19 +180,17 @@
     async def _receive_first_bytes(self) -> None:
         """Receive until a byte of the value has arrived.
 
-        A server that has sent the head gets some time beyond the attempt's deadline, but leaves half of the
-        time for a retry.
+        The server has sent the head, so it may be slow. It gets as much time as leaves enough for a retry.
 
         Raises:
             DeadlineExceededError: None has arrived in time.
             OSError: The server's connection broke.
         """
-        clock = self._services.clock
-        time_left_ms = self._attempt.response_due - self._head_received_at
-        patience_ms = min(PROGRESS_MS, time_left_ms / 2)
-        give_up_at = max(self._attempt.deadline, self._head_received_at + patience_ms)
+        attempt = self._attempt
+        attempt_timeout_ms = attempt.deadline - attempt.sent_at
+        give_up_at = max(attempt.deadline, attempt.response_due - attempt_timeout_ms)
         receiving = self._receive_until_begun()
-        await with_timeout(clock, give_up_at - clock.now(), receiving)
+        await with_timeout(self._services.clock, give_up_at - self._services.clock.now(), receiving)
 
     async def _receive_until_begun(self) -> None:
         while not self._value.received_bytes and self._result is None:
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -14,6 +14,7 @@
 from flintridge.upstream.long_value_delivery import SERVER_STALL_MS, STREAM_WINDOW_BYTES
 
 PIECE_MS = 200
+ATTEMPT_MS = 600.0
 LONG_LENGTH = 20 * 5_000
 SHORT_LENGTH = 20 * 3_000
 
@@ -27,6 +28,15 @@
         super().__init__(port, start_stream=self._start_stream, **changes)
         self.streamed = RecordedStream(0)
         self.started_lengths: list[int] = []
+        self.ended_at_ms: list[float] = []  # since the harness was created
+        created_at = self.clock.now()
+        report_end = self.dispatcher._report_end
+
+        def record_end(attempt, result) -> None:
+            self.ended_at_ms.append(round(self.clock.now() - created_at, 3))
+            report_end(attempt, result)
+
+        self.dispatcher._report_end = record_end
 
     def _start_stream(self, _attempt, value):
         self.started_lengths.append(value.length)
@@ -98,21 +108,21 @@
 
 
 async def receive_slow_value(
-    length: int, written_pieces: int, behind: bool, memory_bytes: int = 1 << 20, watch_s: float = 20.0
+    length: int, written_pieces: int, behind: bool, memory_bytes: int = 1 << 20, due_ms: float = 20_000.0
 ) -> StreamingHarness:
     """Attempt a read at a SlowServer that writes 20 pieces, with or without a command behind it.
 
-    The attempt has 600 ms, and is watched for `watch_s` of virtual time.
+    The attempt has ATTEMPT_MS. It is watched until the response is due, in `due_ms` of virtual time.
     """
     server = SlowServer(length, 20, written_pieces)
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     clock = SystemClock(asyncio.get_running_loop())
     port = listener.sockets[0].getsockname()[1]
     harness = StreamingHarness(port, clock=clock, value_memory_bytes=memory_bytes)
-    attempt = harness.make_attempt(wait=600.0, response_due=20_000.0)
+    attempt = harness.make_attempt(wait=ATTEMPT_MS, response_due=due_ms)
     attempt.hold_later_commands = lambda: not behind
     harness.dispatcher.start(attempt)
-    await asyncio.sleep(watch_s)
+    await asyncio.sleep(due_ms / 1000)
     outcomes = harness.outcomes
     await harness.dispatcher.close()
     listener.close()
@@ -138,10 +148,16 @@
 def test_value_when_its_server_sends_the_head_alone_then_its_response_does_not_begin(
     length, behind, memory_bytes
 ):
-    harness = virtual.run(receive_slow_value(length, 0, behind, memory_bytes, watch_s=0.65))
+    harness = virtual.run(receive_slow_value(length, 0, behind, memory_bytes, due_ms=2_000.0))
     assert harness.outcomes == [Outcome.TIMEOUT] and harness.started_lengths == []
 
 
+def test_value_when_its_server_sends_the_head_alone_then_leaves_time_for_a_retry():
+    due_ms = 2_000.0
+    harness = virtual.run(receive_slow_value(LONG_LENGTH, 0, behind=False, due_ms=due_ms))
+    assert harness.ended_at_ms == [due_ms - ATTEMPT_MS]
+
+
 @pytest.mark.parametrize("written_pieces", [20, 3])
 def test_short_value_when_its_server_writes_slowly_then_is_not_cut_off_unless_it_stops(written_pieces):
     harness = virtual.run(receive_slow_value(SHORT_LENGTH, written_pieces, behind=True))
