Take a server for still writing while it pauses no longer than twice its longest pause before

Cause: a server counted as writing if it had sent bytes within the last 500 ms, whatever pace it had shown. Change: a pause of up to twice the longest one within the value counts as writing. A server that hangs has sent a part at once, so that 500 ms apply to it as before; with nothing behind the read, values are forwarded after 20 ms as before.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -41,6 +41,8 @@
 # A server that has sent bytes of a value within this time is still writing it: the value is not given up, if
 # it has done so for some time. A server that hangs has sent a part of the value at once, and nothing since.
 PROGRESS_MS = 500.0
+# So is one that has been silent for less than this many times the longest pause that it has made within it.
+PAUSES_OF_PROGRESS = 2.0
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
@@ -102,6 +104,7 @@
         self._head_received_at = services.clock.now()
         self._first_received_at = self._head_received_at
         self._last_received_at = self._head_received_at
+        self._longest_pause_ms = 0.0  # between two pieces that the server has sent
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
         self._forwarded_bytes = 0
         self._client_closed = False
@@ -195,7 +198,7 @@
     async def _receive_until_begun(self) -> None:
         while not self._value.received_bytes and self._result is None:
             self._result = await self._connection.receive(self._exchange)
-        self._last_received_at = self._services.clock.now()
+            self._record_received()
 
     async def _collect_part(self, buffer: ValueBuffer) -> None:
         """Collect what arrives before the response has to begin; the value may then be incomplete."""
@@ -226,7 +229,13 @@
         """Whether the server has sent bytes for at least `for_ms` milliseconds, and still does."""
         written_ms = self._last_received_at - self._first_received_at
         silent_ms = self._services.clock.now() - self._last_received_at
-        return written_ms >= for_ms and silent_ms < PROGRESS_MS
+        longest_silence_ms = max(PROGRESS_MS, PAUSES_OF_PROGRESS * self._longest_pause_ms)
+        return written_ms >= for_ms and silent_ms < longest_silence_ms
+
+    def _record_received(self) -> None:
+        now = self._services.clock.now()
+        self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_received_at)
+        self._last_received_at = now
 
     async def _collect_or_pass_on(self, max_ms: float, buffer: ValueBuffer) -> None:
         """Collect the whole value within `max_ms`, or a part of it if the server is still writing.
@@ -265,7 +274,7 @@
 
     async def _collect_next(self, buffer: ValueBuffer) -> None:
         self._result = await self._connection.receive(self._exchange)
-        self._last_received_at = self._services.clock.now()
+        self._record_received()
         buffer.append(self._value.take_chunks())
 
     # The response
@@ -339,7 +348,7 @@
                 return self._valid_so_far
             receiving = self._connection.receive(self._exchange)
             self._result = await with_timeout(self._services.clock, SERVER_STALL_MS, receiving)
-            self._last_received_at = self._services.clock.now()
+            self._record_received()
 
     def _forward_chunks(self, response: StreamedResponse, chunks: Sequence[bytes | bytearray]) -> None:
         response.write(chunks)
