Fail a value of up to 64 KiB in time that waited for memory, rather than begin it incomplete

Cause: the time of such a response is that of its last byte, so it is collected whole. But one that had to wait for memory took the path of long values at its turn: it was begun when it became due, if its server was still writing it, and came later. Long values are begun as before, since their first bytes are timed.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -334,7 +334,10 @@
             self._window_bytes = needed_bytes
             return
         self._buffer = ValueBuffer(budget, self._value.length)
-        await self._collect_or_pass_on(due_at - clock.now(), self._buffer)
+        if self._is_long:
+            await self._collect_or_pass_on(due_at - clock.now(), self._buffer)
+        else:  # the time of its response is that of its last byte
+            await with_timeout(clock, due_at - clock.now(), self._collect(self._buffer))
 
     async def _write_value(self, response: StreamedResponse) -> bool:
         """Write what was collected, then the rest as it arrives. Returns whether the value is valid."""
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -21,6 +21,7 @@
 CLIENTS = 8
 PIPELINING_CLIENTS = 4  # only where faults begin at any point of a message
 KILL_AFTER_TERM_S = 0.7 + 3.0  # the earliest: the longest deadline, at most 3 s, and 0.7 s
+KILL_NOTICED_S = 1.0  # within which its clients have read the end of their connections
 CROWDS = (
     crowd.half_value,
     crowd.part_of_long_value,
@@ -180,27 +181,31 @@
         process = program.process
         if ending == "kill":
             self._judge.killed_at = math.inf  # until it has ended, the kernel accepts connections for it
-            process.kill()
-            await process.wait()
-            self._judge.killed_at = self._judge.ended_at = time.monotonic()
+            await self._kill(process)
+            self._judge.killed_at = time.monotonic()
             return await self._start(servers, discovery)
         successor = None
         if ending == "upgrade":
             successor = await self._start(servers, discovery)
+        kill_at = time.monotonic() + KILL_AFTER_TERM_S
         for _ in range(1 if ending == "term" else 3):
             process.terminate()
             await asyncio.sleep(0.05)
         try:
-            await asyncio.wait_for(process.wait(), KILL_AFTER_TERM_S)
+            await asyncio.wait_for(process.wait(), kill_at - time.monotonic())
         except TimeoutError:
-            process.kill()
-            await process.wait()
+            await self._kill(process)
         else:
             if process.returncode:
                 self._judge.findings.append(f"exit code {process.returncode} after SIGTERM")
-        self._judge.ended_at = time.monotonic()
         return successor or await self._start(servers, discovery)
 
+    async def _kill(self, process: asyncio.subprocess.Process) -> None:
+        self._judge.values_cut_by_kill_until = math.inf
+        process.kill()
+        await process.wait()
+        self._judge.values_cut_by_kill_until = time.monotonic() + KILL_NOTICED_S
+
     def _check_memory(self, program: Program) -> None:
         if program.process.returncode is not None:
             self._judge.findings.append(f"the process ended by itself with {program.process.returncode}")
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -29,7 +29,9 @@
         self.rejected = 0
         self.left: dict[str, float] = {}  # the instant at which the client of each request left
         self.killed_at = float("-inf")  # when a process was last killed without notice
-        self.ended_at = float("-inf")  # when a process last ended in any way
+        self.values_cut_by_kill_until = float(
+            "-inf"
+        )  # a value that ends before may have ended with a process
         self.broken_off: dict[str, float] = {}  # when each value ended that was not whole
         self._received = received
         self._rejected_writes: set[str] = set()
@@ -59,8 +61,8 @@
         return any(one == request_id for _, one in self._received.attempts)
 
     def value_broken_off(self, request_id: str) -> None:
-        """Record a value that began and did not come whole, unless the process of the node has just ended."""
-        if time.monotonic() > self.ended_at + 1.0:
+        """Record a value that began and did not come whole, unless a process was just killed."""
+        if time.monotonic() > self.values_cut_by_kill_until:
             self.broken_off[request_id] = time.monotonic()
 
     def close(self) -> None:
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -143,6 +143,13 @@
     assert sum(map(len, harness.streamed.pieces)) == LONG_LENGTH
 
 
+def test_short_value_when_it_waited_for_memory_and_its_server_is_slow_then_fails_as_it_becomes_due():
+    due_ms = 2_000.0
+    slow_value = receive_slow_value(SHORT_LENGTH, 20, True, STREAM_WINDOW_BYTES, due_ms)
+    harness = virtual.run(slow_value)
+    assert (harness.streamed.pieces, harness.streamed.ended) == ([], "cut")
+
+
 @pytest.mark.parametrize(("written_pieces", "starts"), [(20, 1), (1, 0)])
 def test_long_value_when_its_server_pauses_as_long_as_before_then_is_passed_on_as_it_becomes_due(
     written_pieces, starts
