Print the node's log lines of a finding in the soak

Change: the soak reads the logs of all processes, and prints the lines that name a request of a finding, and those on memory.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -49,6 +49,8 @@
             print(f"    peak {result.peak_mb:.1f} MB")
             for finding in result.findings:
                 print(f"    broken: {finding}")
+            for line in result.log_lines:
+                print(f"    {line}")
     print(f"{len(seeds)} seeds, {requests} requests, {rejected} rejected or failed")
     print(f"{broken} seeds broke a rule")
     return 1 if broken else 0
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import time
+from collections import deque
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,6 +22,7 @@
 CLIENTS = 8
 PIPELINING_CLIENTS = 4  # only where faults begin at any point of a message
 KILL_AFTER_TERM_S = 0.7 + 3.0  # the earliest: the longest deadline, at most 3 s, and 0.7 s
+KEPT_LOG_LINES = 20_000
 KILL_NOTICED_S = 1.0  # within which its clients have read the end of their connections
 CROWDS = (
     crowd.half_value,
@@ -74,6 +76,7 @@
         requests: The number of requests that were judged.
         rejected: How many of them were rejected or failed.
         peak_mb: The highest memory of any process of the node, in megabytes.
+        log_lines: The lines of the nodes' logs that name a request of a finding, or that memory was short.
     """
 
     plan: Plan
@@ -81,6 +84,7 @@
     requests: int
     rejected: int
     peak_mb: float
+    log_lines: list[str]
 
 
 class Soak:
@@ -102,6 +106,8 @@
         self._judge = Judge(self._received)
         self._peak_mb = 0.0
         self._process_count = 0
+        self._log: deque[str] = deque(maxlen=KEPT_LOG_LINES)
+        self._log_readers: list[asyncio.Task[None]] = []
         with socket.socket() as listening:
             listening.bind((crowd.HOST, 0))
             self._port = listening.getsockname()[1]
@@ -144,10 +150,27 @@
         cache.close()
         origin.close()
         self._judge.close()
+        await asyncio.gather(*self._log_readers)
         return Result(
-            self._plan, self._judge.findings, self._judge.requests, self._judge.rejected, self._peak_mb
+            self._plan,
+            self._judge.findings,
+            self._judge.requests,
+            self._judge.rejected,
+            self._peak_mb,
+            self._lines_of_findings(),
         )
 
+    async def _read_log(self, program: Program) -> None:
+        async for line in program.process.stdout:
+            self._log.append(f"process {program.config.parent.name}: {line.decode().strip()}")
+
+    def _lines_of_findings(self) -> list[str]:
+        words = {word for finding in self._judge.findings for word in finding.split()}
+        names = [f'"id":"{word}"' for word in words]
+        if words:
+            names.append('"event":"memory')
+        return [line for line in self._log if any(name in line for name in names)]
+
     async def _start(self, servers: dict, discovery: ScriptedServer) -> Program:
         self._process_count += 1
         folder = self._folder / str(self._process_count)
@@ -157,6 +180,7 @@
         config["settings"]["services"][1]["effect"] = "fragile"
         program.config.write_text(json.dumps(config))
         await program.start(max_descriptors=self._plan.sockets)
+        self._log_readers.append(asyncio.create_task(self._read_log(program)))
         return program
 
     async def _disturb(self, program: Program) -> None:
