Await the first byte of a value for a second at most, since other requests wait for the attempt

A client that waits for 10 s would have a silent server hold its permit, and its key for all reads that wait for the same fetch, for most of it. Cause: found by reading policy/request_coalescing.py: the followers of a fetch wait for the end of its attempt. Change: at most 1 s after the head, or the attempt's time if that is longer.

--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -43,6 +43,9 @@
 PROGRESS_MS = 500.0
 # So is one that has been silent for less than this many times the longest pause that it has made within it.
 PAUSES_OF_PROGRESS = 2.0
+# How long after the head the first byte of a value is awaited, even if the client waits for longer. Other
+# requests may wait for the end of the attempt: for its permit, and for the key that it fetches.
+FIRST_BYTE_MS = 1_000.0
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
@@ -183,7 +186,8 @@
     async def _receive_first_bytes(self) -> None:
         """Receive until a byte of the value has arrived.
 
-        The server has sent the head, so it may be slow. It gets as much time as leaves enough for a retry.
+        The server has sent the head, so it may be slow. It gets up to FIRST_BYTE_MS, if that leaves time for a
+        retry.
 
         Raises:
             DeadlineExceededError: None has arrived in time.
@@ -191,7 +195,8 @@
         """
         attempt = self._attempt
         attempt_timeout_ms = attempt.deadline - attempt.sent_at
-        give_up_at = max(attempt.deadline, attempt.response_due - attempt_timeout_ms)
+        retry_by = attempt.response_due - attempt_timeout_ms
+        give_up_at = max(attempt.deadline, min(retry_by, self._head_received_at + FIRST_BYTE_MS))
         receiving = self._receive_until_begun()
         await with_timeout(self._services.clock, give_up_at - self._services.clock.now(), receiving)
 
