Fail a value at shutdown that has no memory when the last responses are due

Cause: found by reading. A value that waits for its turn and for memory took its time from its own client. SIGTERM brings the time of open requests forward (respond_all_by), but not that of a value whose response has been started: with its turn late in the shutdown it could wait for memory past the earliest SIGKILL, and get nothing. Change: the wait for memory and for the rest of the value at its turn ends when the last responses are due. Result: a new test in virtual time fails without the line and passes with it. Not seen on processes. tests/upstream, core, test_broken_values, test_program*: 514 passed.

--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -93,6 +93,11 @@
         """Number of requests without a final response."""
         return self.open_requests.unanswered
 
+    @property
+    def respond_by(self) -> float:
+        """The latest deadline of any request, in milliseconds of the node's clock; infinite by default."""
+        return self._deadlines.respond_by
+
     @property
     def has_request_memory(self) -> bool:
         """Whether memory is free for another open request."""
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -137,6 +137,7 @@
             self.core.start_stream,
             self.config.response_budget_bytes,
             self.core.process_memory,
+            lambda: self.core.respond_by,
         )
 
     def _make_discovery_watcher(self) -> DiscoveryWatcher:
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
@@ -41,6 +42,11 @@
     return None
 
 
+def _never() -> float:
+    """Default: no response has to begin before its client's time ends."""
+    return math.inf
+
+
 def _host(endpoint: EndpointAddress) -> str:
     return f"{endpoint.address.host}:{endpoint.address.port}"
 
@@ -94,6 +100,7 @@
         start_stream: StartStream = _stream_nothing,
         value_memory_bytes: int = sys.maxsize,
         process_memory: MemoryBudget | None = None,
+        respond_by: Callable[[], float] = _never,
     ) -> None:
         """Create a dispatcher in the running event loop.
 
@@ -109,6 +116,7 @@
                 Returns where to write the value, or None if the client no longer waits for it.
             value_memory_bytes: Memory for values that are received.
             process_memory: Memory for everything that the process holds for its clients; None: no limit.
+            respond_by: Returns the instant by which every response has to begin, whatever its client waits.
         """
         process_memory = process_memory or unlimited_memory(clock)
         self.connection_memory = MemoryBudget(process_memory.total // 2, clock, process_memory)
@@ -124,7 +132,9 @@
         self._counters = counters
         self._start_stream = start_stream
         self.value_memory = MemoryBudget(value_memory_bytes, clock, process_memory)
-        self._delivery_services = DeliveryServices(clock, self.value_memory, process_memory, log, counters)
+        self._delivery_services = DeliveryServices(
+            clock, respond_by, self.value_memory, process_memory, log, counters
+        )
         self._tasks: dict[asyncio.Task[None], None] = {}  # an ordered set
 
     def start(self, attempt: UpstreamAttempt) -> None:
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -8,7 +8,7 @@
 before it is complete only if nothing behind it was read, and nothing more is read until it is complete.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from types import TracebackType
 
@@ -56,6 +56,7 @@
 
     Attributes:
         clock: The node's clock.
+        respond_by: Returns the instant by which every response has to begin, however long its client waits.
         memory_budget: Memory for the values that are collected.
         process_memory: Memory for everything that the process holds for its clients.
         log: The node's log.
@@ -63,6 +64,7 @@
     """
 
     clock: Clock
+    respond_by: Callable[[], float]
     memory_budget: MemoryBudget
     process_memory: MemoryBudget
     log: EventLog
@@ -186,8 +188,7 @@
     async def _receive_first_bytes(self) -> None:
         """Receive until a byte of the value has arrived.
 
-        The server has sent the head, so it may be slow. It gets up to FIRST_BYTE_MS, if that leaves time for a
-        retry.
+        The server has sent the head, and may be slow. It gets FIRST_BYTE_MS, or what leaves a retry its time.
 
         Raises:
             DeadlineExceededError: None has arrived in time.
@@ -330,6 +331,7 @@
         budget = self._services.memory_budget
         time_left_ms = max(self._attempt.response_due - clock.now(), LATE_COLLECT_MS)
         due_at = clock.now() + min(time_left_ms, MAX_HOLD_BEFORE_REQUESTS_MS)
+        due_at = min(due_at, self._services.respond_by())
         needed_bytes = self._value.length
         if not self._must_be_whole:
             needed_bytes = min(STREAM_WINDOW_BYTES, needed_bytes)
--- a/tests/support/upstream.py
+++ b/tests/support/upstream.py
@@ -1,6 +1,7 @@
 """The upstream dispatch with one scripted server."""
 
 import asyncio
+import math
 import os
 
 from flintridge.api import Outcome
@@ -41,6 +42,7 @@
         entry = {"id": "s1", "host_port": f"127.0.0.1:{port}", "flavor": flavor, "phase": "in_service"}
         self.endpoints.apply({"revision": 1, "complete": True, "members": [entry]})
         self.results: list[AttemptResult] = []
+        self.respond_by = math.inf
         log, self.counters = log_and_counters()
         self.dispatcher = Dispatcher(
             self.endpoints,
@@ -52,6 +54,7 @@
             self.counters,
             start_stream,
             value_memory_bytes,
+            respond_by=lambda: self.respond_by,
         )
         self.connections: dict[UpstreamConnection, None] = {}
         self._record_connections()
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -147,6 +147,30 @@
     assert sum(map(len, harness.streamed.pieces)) == LONG_LENGTH
 
 
+def test_value_when_its_turn_comes_late_in_a_shutdown_then_fails_before_the_process_may_be_killed():
+    async def test():
+        async with ScriptedServer(lambda _: ANSWER) as server:
+            harness = StreamingHarness(server.port)
+            harness.streamed.open.clear()  # its turn has not come
+            attempt = harness.make_attempt(response_due=5_000.0)
+            memory = harness.dispatcher.value_memory
+            assert memory.try_reserve(memory.total)  # on behalf of another value
+            harness.dispatcher.start(attempt)
+            await until(lambda: harness.started_lengths)
+            harness.respond_by = harness.clock.now() + 100.0
+            harness.streamed.open.set()
+            await asyncio.sleep(0.01)
+            harness.clock.advance(99.0)
+            await asyncio.sleep(0.01)
+            assert harness.streamed.ended is None
+            harness.clock.advance(1.0)
+            await until(lambda: harness.streamed.ended == "cut")
+            assert harness.streamed.pieces == []
+            await harness.dispatcher.close()
+
+    virtual.run(test())
+
+
 def test_short_value_when_it_waited_for_memory_and_its_server_is_slow_then_fails_as_it_becomes_due():
     due_ms = 2_000.0
     slow_value = receive_slow_value(SHORT_LENGTH, 20, True, STREAM_WINDOW_BYTES, due_ms)
