Move health checks and the progress of an attempt out of the dispatcher

Change: HealthChecks (upstream/health_checks.py) and Progress (upstream/progress.py); the Host header of an endpoint is a property of its address. Nothing else changes.

--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -41,6 +41,11 @@
     address: Address
     origin: bool
 
+    @property
+    def host_header(self) -> str:
+        """The value of an HTTP request's Host header."""
+        return f"{self.address.host}:{self.address.port}"
+
 
 @dataclass(slots=True, frozen=True)
 class _ListEntry:
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -8,13 +8,13 @@
 import math
 import sys
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from flintridge.api import Outcome, Settings
-from flintridge.codec.http.origin import OriginExchange, OriginHealthCheck
-from flintridge.codec.memcache.exchange import CacheExchange, CacheHealthCheck
+from flintridge.codec.http.origin import OriginExchange
+from flintridge.codec.memcache.exchange import CacheExchange
 from flintridge.core.exchange import Exchange
 from flintridge.core.memory_budget import MemoryBudget, unlimited_memory
 from flintridge.core.request import UpstreamAttempt
@@ -28,10 +28,10 @@
 from flintridge.upstream.connection import UpstreamConnection
 from flintridge.upstream.connection_pool import ConnectionLimitError, ConnectionPool
 from flintridge.upstream.connector import Connector, LocalFailureError
+from flintridge.upstream.health_checks import HealthChecks
 from flintridge.upstream.idle_timeout import MIN_IDLE_MS
 from flintridge.upstream.long_value_delivery import DeliveryServices, LongValueDelivery
-
-HEALTH_CHECK_TIMEOUT_MS = 500.0
+from flintridge.upstream.progress import Progress
 
 ReportEnd = Callable[[UpstreamAttempt, AttemptResult], None]
 StartStream = Callable[[UpstreamAttempt, StreamedValue], StreamedResponse | None]
@@ -47,38 +47,11 @@
     return math.inf
 
 
-def _host(endpoint: EndpointAddress) -> str:
-    return f"{endpoint.address.host}:{endpoint.address.port}"
-
-
-def _connect_failed() -> AttemptResult:
-    return AttemptResult(Outcome.CONNECT_FAILED)
-
-
 def _is_malformed(result: AttemptResult | None) -> bool:
     """Whether the exchange ended with a malformed response, so that its value must not be used."""
     return result is not None and result.response is None and result.malformed
 
 
-@dataclass(slots=True)
-class _Progress:
-    """Progress of an attempt or a health check.
-
-    Attributes:
-        connection: Its connection, which is closed when it ends unless it was released to the pool before.
-        result: The result if it ended now. The default is a failed connect, because the server executes
-            nothing until the last byte of the request is written.
-    """
-
-    connection: UpstreamConnection | None = None
-    result: AttemptResult = field(default_factory=_connect_failed)
-
-    @property
-    def request_written(self) -> bool:
-        """Whether the request was written completely, so that the server may execute it."""
-        return self.connection is not None and self.connection.request_written
-
-
 class Dispatcher:
     """Runs the attempts and health checks of a node, each as a task.
 
@@ -123,9 +96,11 @@
         self.pool = ConnectionPool(
             max_connections, to_ms(settings.limits.conn_idle_ns), clock, counters, self.connection_memory
         )
+        connect_timeout_ms = to_ms(settings.limits.connect_timeout_ns)
+        self._health_checks = HealthChecks(self.pool, endpoints, connect_timeout_ms, clock, log)
         self._connector = Connector(self.pool, clock, counters)
         self._endpoints = endpoints
-        self._connect_timeout_ms = to_ms(settings.limits.connect_timeout_ns)
+        self._connect_timeout_ms = connect_timeout_ms
         self._clock = clock
         self._report_end = report_end
         self._log = log
@@ -144,7 +119,7 @@
 
     def check_health(self, server: str, done: Callable[[AttemptResult], None]) -> None:
         """Request a load report from a server; `done` is called once, unless the dispatcher closes first."""
-        self._start_task(self._run_health_check(server, done))
+        self._start_task(self._health_checks.run(server, done))
 
     def close_idle_connections(self, server: str) -> None:
         """Close the connections to a server that carry no attempt."""
@@ -168,7 +143,7 @@
     # Attempts
 
     async def _run_attempt(self, attempt: UpstreamAttempt) -> None:
-        progress = _Progress()
+        progress = Progress()
         try:
             await self._perform(attempt, progress)
         except DeadlineExceededError:
@@ -197,7 +172,7 @@
                 self.pool.close_connection(progress.connection)
         self._report_end(attempt, progress.result)
 
-    async def _perform(self, attempt: UpstreamAttempt, progress: _Progress) -> None:
+    async def _perform(self, attempt: UpstreamAttempt, progress: Progress) -> None:
         """Run an attempt, and record in `progress` how far it got.
 
         Raises:
@@ -243,7 +218,7 @@
             raise AttemptWithdrawnError
 
     async def _receive_unreserved_body(
-        self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress
+        self, attempt: UpstreamAttempt, exchange: Exchange, progress: Progress
     ) -> AttemptResult:
         """Receive a body whose length is unknown, or that is no value, once memory is reserved for it.
 
@@ -263,7 +238,7 @@
             self.value_memory.release(body_bytes)
 
     async def _deliver_value(
-        self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress, result: AttemptResult | None
+        self, attempt: UpstreamAttempt, exchange: Exchange, progress: Progress, result: AttemptResult | None
     ) -> None:
         """Deliver the value that has begun, and record the attempt's result in `progress`.
 
@@ -297,30 +272,24 @@
             if response is not None:
                 await delivery.forward(response)
 
-    def _release_if_reusable(self, attempt: UpstreamAttempt, exchange: Exchange, progress: _Progress) -> None:
+    def _release_if_reusable(self, attempt: UpstreamAttempt, exchange: Exchange, progress: Progress) -> None:
         if exchange.reusable and progress.connection is not None:
-            self._release(attempt.server, progress, exchange.names_request)
+            progress.release(attempt.server, self.pool, exchange.names_request)
 
     def _exchange(self, attempt: UpstreamAttempt, endpoint: EndpointAddress) -> Exchange:
         remaining_ms = attempt.deadline - self._clock.now()
         if endpoint.origin:
-            return OriginExchange(attempt.request, _host(endpoint), remaining_ms)
+            return OriginExchange(attempt.request, endpoint.host_header, remaining_ms)
         return CacheExchange(attempt.request, remaining_ms)
 
-    def _release(self, server: str, progress: _Progress, names_request: bool = True) -> None:
-        connection = progress.connection
-        assert connection is not None
-        self.pool.release(server, connection, names_request)
-        progress.connection = None
-
-    def _release_unused(self, server: str, progress: _Progress) -> None:
+    def _release_unused(self, server: str, progress: Progress) -> None:
         """Release the connection of a withdrawn attempt, unless bytes of it are in the write buffer."""
         connection = progress.connection
         if connection is not None and not connection.writer.transport.get_write_buffer_size():
-            self._release(server, progress)
+            progress.release(server, self.pool)
 
     def _record_unwritten(
-        self, attempt: UpstreamAttempt, progress: _Progress, connection: UpstreamConnection
+        self, attempt: UpstreamAttempt, progress: Progress, connection: UpstreamConnection
     ) -> None:
         """Record an attempt whose request was not written completely in time."""
         if not connection.request_begun:
@@ -341,7 +310,7 @@
         )
 
     def _record_connection_failure(
-        self, attempt: UpstreamAttempt, progress: _Progress, error: OSError
+        self, attempt: UpstreamAttempt, progress: Progress, error: OSError
     ) -> None:
         connection = progress.connection
         if connection is None:
@@ -355,7 +324,7 @@
         self.pool.idle_timeout.record_reuse(self._clock.now(), connection.idle_before_use_ms, lost)
 
     def _record_failure_before_written(
-        self, attempt: UpstreamAttempt, progress: _Progress, connection: UpstreamConnection, error: OSError
+        self, attempt: UpstreamAttempt, progress: Progress, connection: UpstreamConnection, error: OSError
     ) -> None:
         if connection.request_begun:
             return
@@ -369,46 +338,3 @@
             self._counters.add("attempts_on_broken_idle_connection")
             self.pool.idle_timeout.record_reuse(self._clock.now(), connection.idle_before_use_ms, lost=True)
             progress.result = AttemptResult(Outcome.WITHDRAWN)
-
-    # Health checks
-
-    async def _run_health_check(self, server: str, done: Callable[[AttemptResult], None]) -> None:
-        progress = _Progress()
-        try:
-            await self._perform_health_check(server, progress)
-        except DeadlineExceededError:
-            progress.result = AttemptResult(Outcome.TIMEOUT)
-        except OSError as error:
-            if progress.request_written:
-                progress.result = AttemptResult(Outcome.RESET)
-            elif is_local_failure(error):
-                progress.result = AttemptResult(Outcome.WITHDRAWN)
-        except Exception as error:
-            self._log.error("health_check_internal_error", error, server=server)
-        finally:
-            if progress.connection is not None:
-                self.pool.close_connection(progress.connection)
-        done(progress.result)
-
-    async def _perform_health_check(self, server: str, progress: _Progress) -> None:
-        """Run a health check, and record in `progress` how far it got.
-
-        Raises:
-            DeadlineExceededError: The connection or the response took too long.
-            OSError: The connection failed or was refused.
-        """
-        endpoint = self._endpoints[server]
-        connection = self.pool.take_idle(server, endpoint.address)
-        if connection is None:
-            connection = await self.pool.connect(endpoint.address, self._connect_timeout_ms)
-        progress.connection = connection
-        exchange: Exchange = OriginHealthCheck(_host(endpoint)) if endpoint.origin else CacheHealthCheck()
-        performing = connection.perform(exchange, self._clock)
-        result = await with_timeout(self._clock, HEALTH_CHECK_TIMEOUT_MS, performing)
-        if result is None:  # a load report is never a value, but its length may be unknown
-            result = await with_timeout(
-                self._clock, HEALTH_CHECK_TIMEOUT_MS, connection.receive_rest(exchange)
-            )
-        progress.result = result
-        if exchange.reusable:
-            self._release(server, progress, exchange.names_request)
