--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -24,6 +24,7 @@
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 from flintridge.upstream.connection import UpstreamConnection
+from flintridge.upstream.transfer_progress import TransferProgress
 from flintridge.upstream.value_buffer import ValueBuffer
 
 # What a delivery uses beside the value: its task and the state of its exchange. The request may have ended.
@@ -38,11 +39,8 @@
 LATE_COLLECT_MS = 250.0
 # Memory of a value that is forwarded as it arrives, in the buffers of both connections.
 STREAM_WINDOW_BYTES = 4 * VALUE_READ_BYTES
-# A server that has sent bytes of a value within this time is still writing it: the value is not given up, if
-# it has done so for some time. A server that hangs has sent a part of the value at once, and nothing since.
-PROGRESS_MS = 500.0
-# So is one that has been silent for less than this many times the longest pause that it has made within it.
-PAUSES_OF_PROGRESS = 2.0
+# A value is begun incomplete only if its server has been writing it for this long.
+SLOW_SERVER_MS = 500.0
 # How long after the head the first byte of a value is awaited, even if the client waits for longer. Other
 # requests may wait for the end of the attempt: for its permit, and for the key that it fetches.
 FIRST_BYTE_MS = 1_000.0
@@ -106,10 +104,7 @@
         self._result = result
         self._services = services
         self._buffer: ValueBuffer | None = None
-        self._head_received_at = services.clock.now()
-        self._first_received_at = self._head_received_at
-        self._last_received_at = self._head_received_at
-        self._longest_pause_ms = 0.0  # between two pieces that the server has sent
+        self._progress = TransferProgress(services.clock)
         self._window_bytes = 0  # reserved while the value is forwarded as it arrives
         self._forwarded_bytes = 0
         self._client_closed = False
@@ -197,18 +192,18 @@
         attempt = self._attempt
         attempt_timeout_ms = attempt.deadline - attempt.sent_at
         retry_by = attempt.response_due - attempt_timeout_ms
-        give_up_at = max(attempt.deadline, min(retry_by, self._head_received_at + FIRST_BYTE_MS))
+        give_up_at = max(attempt.deadline, min(retry_by, self._progress.head_received_at + FIRST_BYTE_MS))
         receiving = self._receive_until_begun()
         await with_timeout(self._services.clock, give_up_at - self._services.clock.now(), receiving)
 
     async def _receive_until_begun(self) -> None:
         while not self._value.received_bytes and self._result is None:
             self._result = await self._connection.receive(self._exchange)
-            self._record_received()
+            self._progress.record_received()
 
     async def _collect_part(self, buffer: ValueBuffer) -> None:
         """Collect what arrives before the response has to begin; the value may then be incomplete."""
-        held_ms = self._services.clock.now() - self._head_received_at
+        held_ms = self._services.clock.now() - self._progress.head_received_at
         try:
             await self._collect_for(MAX_HOLD_MS - held_ms, buffer)
         except DeadlineExceededError:
@@ -226,23 +221,12 @@
             await with_timeout(clock, self._attempt.deadline - clock.now(), self._collect(buffer))
         except DeadlineExceededError:
             while self._result is None:
-                if not self._is_writing(for_ms=(clock.now() - self._first_received_at) / 2):
+                if not self._progress.is_writing(for_ms=self._progress.elapsed_ms / 2):
                     raise
-                time_left_ms = min(PROGRESS_MS, self._attempt.response_due - clock.now())
+                silence_left_ms = self._progress.longest_silence_ms - self._progress.silent_ms
+                time_left_ms = min(silence_left_ms, self._attempt.response_due - clock.now())
                 await with_timeout(clock, time_left_ms, self._collect_next(buffer))
 
-    def _is_writing(self, for_ms: float) -> bool:
-        """Whether the server has sent bytes for at least `for_ms` milliseconds, and still does."""
-        written_ms = self._last_received_at - self._first_received_at
-        silent_ms = self._services.clock.now() - self._last_received_at
-        longest_silence_ms = max(PROGRESS_MS, PAUSES_OF_PROGRESS * self._longest_pause_ms)
-        return written_ms >= for_ms and silent_ms < longest_silence_ms
-
-    def _record_received(self) -> None:
-        now = self._services.clock.now()
-        self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_received_at)
-        self._last_received_at = now
-
     async def _collect_or_pass_on(self, max_ms: float, buffer: ValueBuffer) -> None:
         """Collect the whole value within `max_ms`, or a part of it if the server is still writing.
 
@@ -256,7 +240,7 @@
         try:
             await self._collect_for(max_ms, buffer)
         except DeadlineExceededError:
-            if not self._is_writing(for_ms=PROGRESS_MS):
+            if not self._progress.is_writing(for_ms=SLOW_SERVER_MS):
                 raise
             self._services.counters.add("long_values_withheld_in_part")
 
@@ -273,14 +257,14 @@
 
     async def _collect(self, buffer: ValueBuffer) -> None:
         self._connection.set_read_limit(VALUE_READ_BYTES)
-        self._first_received_at = self._services.clock.now()
+        self._progress.begin()
         buffer.append(self._value.take_chunks())
         while self._result is None:
             await self._collect_next(buffer)
 
     async def _collect_next(self, buffer: ValueBuffer) -> None:
         self._result = await self._connection.receive(self._exchange)
-        self._record_received()
+        self._progress.record_received()
         buffer.append(self._value.take_chunks())
 
     # The response
@@ -358,7 +342,7 @@
                 return self._valid_so_far
             receiving = self._connection.receive(self._exchange)
             self._result = await with_timeout(self._services.clock, SERVER_STALL_MS, receiving)
-            self._record_received()
+            self._progress.record_received()
 
     def _forward_chunks(self, response: StreamedResponse, chunks: Sequence[bytes | bytearray]) -> None:
         response.write(chunks)
@@ -394,5 +378,5 @@
             length=self._value.length,
             received=self._value.received_bytes,
             forwarded=self._forwarded_bytes,
-            silent_ms=round(self._services.clock.now() - self._last_received_at),
+            silent_ms=round(self._progress.silent_ms),
         )
