Give a server that reads a request slowly no connect backoff

Where writes go to cache servers (no read-through mode), a long write that one reads slowly ends as CONNECT_FAILED when its time is over, since it was never executed. The policy then took the server for one that cannot be connected to: no request goes there for 0.5 to 1 s, doubled with each further such write up to 16 s. Change: AttemptEnded has partly_written, set when the time ends after the server has taken a part; such an end counts for everything but the connect backoff. Errors while writing (reset, no route) are as before: the server may be gone. The simulator's outcomes have no such mark: its decisions are unchanged.

--- a/flintridge/api/events.py
+++ b/flintridge/api/events.py
@@ -128,6 +128,8 @@
         cache_status: 1: hit; 2: miss or fetched; 3: miss while a fetch is in flight; None: not reported.
         load: The load values that the server reported, by name.
         malformed: Whether the response could not be parsed, or the reused connection had already ended.
+        partly_written: Whether its time ended when the server had taken a part of the request and not all of
+            it. The outcome is then CONNECT_FAILED, as it was never executed, although there is a connection.
     """
 
     id: str
@@ -139,6 +141,7 @@
     cache_status: int | None = None
     load: dict[str, float] = field(default_factory=dict)
     malformed: bool = False
+    partly_written: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/flintridge/core/attempts.py
+++ b/flintridge/core/attempts.py
@@ -71,4 +71,5 @@
         cache_status=result.cache_status,
         load=result.load,
         malformed=result.malformed,
+        partly_written=result.partly_written,
     )
--- a/flintridge/core/response.py
+++ b/flintridge/core/response.py
@@ -31,6 +31,7 @@
         load: The server's load report: values by name.
         malformed: Whether the received bytes were no valid response to this request, or a reused connection
             had already been closed by the server.
+        partly_written: As in `AttemptEnded`.
     """
 
     outcome: Outcome
@@ -38,6 +39,7 @@
     cache_status: int | None = None
     load: dict[str, float] = field(default_factory=dict)
     malformed: bool = False
+    partly_written: bool = False
 
 
 class DownstreamClosedError(ConnectionError):
--- a/flintridge/policy/attempt_feedback.py
+++ b/flintridge/policy/attempt_feedback.py
@@ -68,7 +68,8 @@
                 self._quotas.record_round(result is RoundResult.BAD)
         if is_cache:
             self._stale_connections.record(server, outcome, attempt.idle_ns, now)
-            server.connect_backoff.record(outcome, now, self._rng)
+            if not event.partly_written:
+                server.connect_backoff.record(outcome, now, self._rng)
             if not is_stale:
                 expected_ns = request.event.work_ns or limiter.mean_latency_ns(request)
                 self._outliers.record(server, expected_ns, event, now, is_failure)
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -295,6 +295,7 @@
         if not connection.request_begun:
             progress.result = AttemptResult(Outcome.WITHDRAWN)  # the local kernel accepted no byte of it
             return
+        progress.result = AttemptResult(Outcome.CONNECT_FAILED, partly_written=True)
         self._counters.add("attempts_not_read")
         self._log.event(
             "request_not_read", server=attempt.server, id=attempt.id, unwritten=connection.unwritten_bytes
--- a/tests/policy/test_attempt_feedback.py
+++ b/tests/policy/test_attempt_feedback.py
@@ -20,6 +20,14 @@
     return made, server
 
 
+def test_server_when_it_took_a_part_of_a_request_then_gets_no_connect_backoff():
+    made, server = Mechanisms(settings(), random.Random(1)), Server(api.Endpoint("s"), 0)
+    request, attempt = open_request(work_ns=MS), Attempt("s", START, 0)
+    event = ended(Outcome.CONNECT_FAILED, partly_written=True)
+    made.feedback.record(request, attempt, server, made.cache_limiter, event, True, START)
+    assert (server.connect_backoff.failures, server.connect_backoff.until) == (0, 0)
+
+
 @pytest.mark.parametrize(
     ("outcome", "counted", "slow", "costs", "fails_connect"),
     [
--- a/tests/upstream/test_failure_logging.py
+++ b/tests/upstream/test_failure_logging.py
@@ -6,6 +6,7 @@
 from support.network import RecordedStream, ScriptedServer, until
 from support.upstream import UpstreamHarness
 
+from flintridge.api import Outcome
 from flintridge.lab import virtual
 from flintridge.upstream.long_value_delivery import SERVER_STALL_MS
 
@@ -70,6 +71,8 @@
         (event,) = harness.events
         assert (event["event"], event["id"]) == ("request_not_read", "a1")
         assert 0 < event["unwritten"] < 4 << 20
+        (result,) = harness.results
+        assert (result.outcome, result.partly_written) == (Outcome.CONNECT_FAILED, True)
         await harness.dispatcher.close()
         ended.set()
         listener.close()
