End a value at shutdown whose server is silent, before the process may be killed

Callers saw: after SIGTERM a process whose server is silent within a long value runs until SIGKILL, 3.7 s later. The client then gets a reset in place of an orderly end, and requests of the last 3 s that are still unanswered are lost. Cause: only the limit on a server's pause (10 s) applies within a value; the shutdown waits for all pending responses. Evidence: four new cases on processes (client stays; one byte or all but one of the value sent; cache server and origin): killed, no exit code. Change: a pause is ended when the last responses are due, if the server is not writing any more. One that still writes is not cut off. The value ends with fewer bytes than announced, the connection in order, the process with 0.

--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -28,9 +28,10 @@
 from flintridge.upstream.connection import UpstreamConnection
 from flintridge.upstream.connection_pool import ConnectionLimitError, ConnectionPool
 from flintridge.upstream.connector import Connector, LocalFailureError
+from flintridge.upstream.delivery_services import DeliveryServices
 from flintridge.upstream.health_checks import HealthChecks
 from flintridge.upstream.idle_timeout import MIN_IDLE_MS
-from flintridge.upstream.long_value_delivery import DeliveryServices, LongValueDelivery
+from flintridge.upstream.long_value_delivery import LongValueDelivery
 from flintridge.upstream.progress import Progress
 
 ReportEnd = Callable[[UpstreamAttempt, AttemptResult], None]
--- a/flintridge/upstream/long_value_delivery.py
+++ b/flintridge/upstream/long_value_delivery.py
@@ -8,22 +8,19 @@
 before it is complete only if nothing behind it was read, and nothing more is read until it is complete.
 """
 
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
 from types import TracebackType
 
 from flintridge.api import Outcome
 from flintridge.codec.long_value import LONG_VALUE_BYTES
 from flintridge.core.exchange import Exchange
-from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.request import UpstreamAttempt
 from flintridge.core.response import AttemptResult, DownstreamClosedError, StreamedResponse
 from flintridge.errors import FlintridgeError
-from flintridge.runtime.clock import Clock, DeadlineExceededError, with_timeout
+from flintridge.runtime.clock import DeadlineExceededError, with_timeout
 from flintridge.runtime.streams import VALUE_READ_BYTES
-from flintridge.telemetry.counters import Counters
-from flintridge.telemetry.log import EventLog
 from flintridge.upstream.connection import UpstreamConnection
+from flintridge.upstream.delivery_services import DeliveryServices
 from flintridge.upstream.transfer_progress import TransferProgress
 from flintridge.upstream.value_buffer import ValueBuffer
 
@@ -44,31 +41,12 @@
 # How long after the head the first byte of a value is awaited, even if the client waits for longer. Other
 # requests may wait for the end of the attempt: for its permit, and for the key that it fetches.
 FIRST_BYTE_MS = 1_000.0
+# How often a delivery whose server pauses checks for a shutdown, which lasts longer than that.
+SHUTDOWN_CHECK_MS = 500.0
 # A server that sends nothing for this long within a value that is being forwarded is considered failed.
 SERVER_STALL_MS = 10_000.0
 
 
-@dataclass(slots=True, frozen=True)
-class DeliveryServices:
-    """What the deliveries of a node share.
-
-    Attributes:
-        clock: The node's clock.
-        respond_by: Returns the instant by which every response has to begin, however long its client waits.
-        memory_budget: Memory for the values that are collected.
-        process_memory: Memory for everything that the process holds for its clients.
-        log: The node's log.
-        counters: The node's counters.
-    """
-
-    clock: Clock
-    respond_by: Callable[[], float]
-    memory_budget: MemoryBudget
-    process_memory: MemoryBudget
-    log: EventLog
-    counters: Counters
-
-
 class ValueMemoryError(FlintridgeError):
     """No memory was free in time for a value that must be whole before it is forwarded."""
 
@@ -340,10 +318,32 @@
             self._forward_chunks(response, self._value.take_chunks())
             if self._result is not None:
                 return self._valid_so_far
-            receiving = self._connection.receive(self._exchange)
-            self._result = await with_timeout(self._services.clock, SERVER_STALL_MS, receiving)
+            self._result = await self._receive_next_piece()
             self._progress.record_received()
 
+    async def _receive_next_piece(self) -> AttemptResult | None:
+        """Receive once, however long the server pauses, within limits.
+
+        A pause is ended after SERVER_STALL_MS. In a shutdown it is ended when the last responses are due, if
+        the server is not writing any more, so that the process is not killed within the value.
+
+        Raises:
+            DeadlineExceededError: The server has paused for too long.
+            OSError: The server's connection broke.
+        """
+        clock = self._services.clock
+        stalls_at = clock.now() + SERVER_STALL_MS
+        while True:
+            silent_at = clock.now() + self._progress.longest_silence_ms - self._progress.silent_ms
+            give_up_at = min(stalls_at, max(self._services.respond_by(), silent_at))
+            check_at = min(give_up_at, clock.now() + SHUTDOWN_CHECK_MS)
+            receiving = self._connection.receive(self._exchange)
+            try:
+                return await with_timeout(clock, check_at - clock.now(), receiving)
+            except DeadlineExceededError:
+                if clock.now() >= give_up_at:
+                    raise
+
     def _forward_chunks(self, response: StreamedResponse, chunks: Sequence[bytes | bytearray]) -> None:
         response.write(chunks)
         self._forwarded_bytes += sum(map(len, chunks))
--- a/tests/processes/test_unfinished_responses.py
+++ b/tests/processes/test_unfinished_responses.py
@@ -71,10 +71,12 @@
     assert responses["alone"].is_whole
 
 
-async def read_and_terminate(tmp_path, plan: Plan) -> tuple[dict[str, TimedResponse], int | None]:
+async def read_and_terminate(
+    tmp_path, plan: Plan, wait_s: float
+) -> tuple[dict[str, TimedResponse], int | None]:
     """Read beside SIGTERM; returns the responses and the exit code, None if the process was killed."""
     async with fleet(tmp_path) as (program, port, attempts):
-        reading = asyncio.gather(*(timed_read(port, plan, place, 0.0) for place in PLACES))
+        reading = asyncio.gather(*(timed_read(port, plan, place, wait_s) for place in PLACES))
         await until(lambda: sum(key.startswith(plan.key) for key in attempts) == len(PLACES))
         program.process.terminate()
         with contextlib.suppress(TimeoutError):
@@ -82,12 +84,15 @@
         return dict(zip(PLACES, await reading, strict=True)), program.process.returncode
 
 
+@pytest.mark.parametrize("wait_s", [0.0, SLOW_VALUE_S], ids=["leaves", "stays"])
 @pytest.mark.parametrize("form", FORMS, ids=lambda form: form.value)
-@pytest.mark.parametrize("point", [Point.VALUE_START, Point.FIRST_BYTE], ids=lambda point: point.value)
+@pytest.mark.parametrize(
+    "point", [Point.VALUE_START, Point.FIRST_BYTE, Point.LAST_BYTE], ids=lambda point: point.value
+)
 def test_long_read_when_its_servers_fall_silent_at_shutdown_then_is_answered_and_the_node_ends(
-    tmp_path, point, form
+    tmp_path, point, form, wait_s
 ):
     plan = Plan(point, Fault.SILENCE, LONG_BYTES, form)
-    responses, exit_code = asyncio.run(read_and_terminate(tmp_path, plan))
+    responses, exit_code = asyncio.run(read_and_terminate(tmp_path, plan, wait_s))
     assert not _late(responses)
     assert exit_code == 0
--- a/tests/upstream/test_upstream_streaming.py
+++ b/tests/upstream/test_upstream_streaming.py
@@ -147,6 +147,28 @@
     assert sum(map(len, harness.streamed.pieces)) == LONG_LENGTH
 
 
+@pytest.mark.parametrize(("written_pieces", "how"), [(3, "cut"), (20, "whole")])
+def test_value_when_the_last_responses_are_due_is_ended_if_its_server_is_silent_and_not_if_it_writes(
+    written_pieces, how
+):
+    async def test():
+        server = SlowServer(LONG_LENGTH, 20, written_pieces, PIECE_MS)
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        clock = SystemClock(asyncio.get_running_loop())
+        harness = StreamingHarness(listener.sockets[0].getsockname()[1], clock=clock)
+        harness.dispatcher.start(harness.make_attempt(response_due=20_000.0))
+        await asyncio.sleep(1.0)  # of virtual time; a silent server has been so for 400 ms
+        harness.respond_by = clock.now() + 1_000.0
+        await asyncio.sleep(0.99)
+        assert harness.streamed.ended is None
+        await asyncio.sleep(0.02 if how == "cut" else 3.0)
+        assert harness.streamed.ended == how
+        await harness.dispatcher.close()
+        listener.close()
+
+    virtual.run(test())
+
+
 def test_value_when_its_turn_comes_late_in_a_shutdown_then_fails_before_the_process_may_be_killed():
     async def test():
         async with ScriptedServer(lambda _: ANSWER) as server:
