--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -17,13 +17,14 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
 from support.soak import Result, Soak
+from support.soak_clients import TIMEOUT_MS
 
 
-def run(seed: int, message_faults: bool) -> Result:
+def run(seed: int, message_faults: bool, timeout_ms: int) -> Result:
     """Play one seed in this process."""
     with tempfile.TemporaryDirectory() as folder:
         os.environ["TMPDIR"] = folder
-        return asyncio.run(Soak(seed, Path(folder), message_faults).run())
+        return asyncio.run(Soak(seed, Path(folder), message_faults, timeout_ms).run())
 
 
 def main() -> int:
@@ -34,12 +35,14 @@
     parser.add_argument(
         "--message-faults", action="store_true", help="faults begin at any point of a request or a response"
     )
+    parser.add_argument("--timeout-ms", type=int, default=TIMEOUT_MS, help="how long the clients wait")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     broken = requests = rejected = 0
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        results = pool.map(run, seeds, itertools.repeat(arguments.message_faults))
+        message_faults = itertools.repeat(arguments.message_faults)
+        results = pool.map(run, seeds, message_faults, itertools.repeat(arguments.timeout_ms))
         for seed, result in zip(seeds, results, strict=True):
             requests += result.requests
             rejected += result.rejected
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -14,7 +14,7 @@
 from support import crowd
 from support.network import ScriptedServer
 from support.program import Program
-from support.soak_clients import Client, Judge, leave_early
+from support.soak_clients import TIMEOUT_MS, Client, Judge, leave_early
 from support.soak_message_faults import PointFaultCache, PointFaultOrigin
 from support.soak_pipelines import PipeliningClient
 from support.soak_servers import DisturbedCache, DisturbedOrigin, Received
@@ -91,20 +91,23 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed: int, folder: Path, message_faults: bool = False) -> None:
+    def __init__(
+        self, seed: int, folder: Path, message_faults: bool = False, timeout_ms: int = TIMEOUT_MS
+    ) -> None:
         """Draw the plan of a run.
 
         Args:
             seed: Draws everything that varies.
             folder: Where the node's processes have their files.
             message_faults: Whether the servers' faults begin at any point of a message.
+            timeout_ms: How long the clients wait for a response.
         """
         self._message_faults = message_faults
         self._rng = random.Random(seed)
         self._plan = Plan.draw(self._rng)
         self._folder = folder
         self._received = Received()
-        self._judge = Judge(self._received)
+        self._judge = Judge(self._received, timeout_ms)
         self._peak_mb = 0.0
         self._process_count = 0
         self._log: deque[str] = deque(maxlen=KEPT_LOG_LINES)
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -10,7 +10,7 @@
 
 TIMEOUT_MS = 1_200
 LONG_VALUE_BYTES = 64 * 1024
-LATEST_RESPONSE_S = TIMEOUT_MS / 1000 + 0.5  # later, or never, the request is lost
+LATE_S = 0.5  # how much later than its client waits a response may come; then the request is lost
 _numbers = itertools.count(1)
 
 
@@ -24,7 +24,9 @@
         crowded_until: While a crowd fills the node, until this instant, it may close connections unread.
     """
 
-    def __init__(self, received: Received) -> None:
+    def __init__(self, received: Received, timeout_ms: int = TIMEOUT_MS) -> None:
+        self.timeout_ms = timeout_ms  # how long the clients wait
+        self.latest_response_s = timeout_ms / 1000 + LATE_S
         self.findings: list[str] = []
         self.requests = 0
         self.rejected = 0
@@ -106,7 +108,7 @@
         key = f"{self._rng.choice(['tiny', 'tiny', 'short', 'long'])}-{self._rng.randrange(50)}"
         request_id = f"c{next(_numbers)}"
         is_write = self._rng.random() < 0.3
-        options = f"P{'c=put' if is_write else 'c=read'},d={TIMEOUT_MS}"
+        options = f"P{'c=put' if is_write else 'c=read'},d={self._judge.timeout_ms}"
         if is_write:
             value = value_of(key)
             command = f"ms {key} {len(value)} O{request_id} {options}\r\n".encode() + value + b"\r\n"
@@ -132,7 +134,7 @@
         try:
             self._writer.write(command)
             await self._writer.drain()
-            async with asyncio.timeout(LATEST_RESPONSE_S) as limit:
+            async with asyncio.timeout(self._judge.latest_response_s) as limit:
                 line = await self._reader.readuntil(b"\r\n")
                 if line.startswith(b"VA "):
                     length = int(line.split()[1])
@@ -142,7 +144,9 @@
                     value += (await self._reader.readexactly(length + 1))[:-2]
         except TimeoutError:
             what = f"{'write' if is_write else 'read'} of {key}"
-            self._judge.unanswered(request_id, f"{what}: no response within {LATEST_RESPONSE_S} s")
+            self._judge.unanswered(
+                request_id, f"{what}: no response within {self._judge.latest_response_s} s"
+            )
             self._disconnect()
             return True
         except (OSError, asyncio.IncompleteReadError) as error:
@@ -179,7 +183,9 @@
         with contextlib.suppress(OSError):
             _, writer = await asyncio.open_connection(HOST, port)
             ids = [f"l{next(_numbers)}" for _ in range(rng.choice([1, 5, 40, 2_000]))]
-            reads = [f"mg tiny-{index % 50} v O{one} Pc=read,d={TIMEOUT_MS}" for index, one in enumerate(ids)]
+            reads = [
+                f"mg tiny-{index % 50} v O{one} Pc=read,d={judge.timeout_ms}" for index, one in enumerate(ids)
+            ]
             writer.write("\r\n".join([*reads, ""]).encode())
             await asyncio.sleep(rng.uniform(0.0, 0.3))
             writer.transport.abort()
--- a/tests/support/soak_pipelines.py
+++ b/tests/support/soak_pipelines.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import dataclass
 
-from support.soak_clients import LATEST_RESPONSE_S, LONG_VALUE_BYTES, TIMEOUT_MS, Judge
+from support.soak_clients import LONG_VALUE_BYTES, Judge
 from support.soak_servers import HOST, value_of
 
 SLOW_VALUE_S = 11.0  # after its first bytes a value may come slowly; a silent server is given up before
@@ -22,13 +22,14 @@
     request_id: str
     key: str
     is_write: bool
+    timeout_ms: int
 
     def encode(self) -> bytes:
         """Return its bytes."""
         if not self.is_write:
-            return f"mg {self.key} v O{self.request_id} Pc=read,d={TIMEOUT_MS}\r\n".encode()
+            return f"mg {self.key} v O{self.request_id} Pc=read,d={self.timeout_ms}\r\n".encode()
         value = value_of(self.key)
-        options = f"Pc=put,d={TIMEOUT_MS}"
+        options = f"Pc=put,d={self.timeout_ms}"
         return f"ms {self.key} {len(value)} O{self.request_id} {options}\r\n".encode() + value + b"\r\n"
 
 
@@ -53,7 +54,7 @@
 
     def _draw(self) -> Command:
         key = f"{self._rng.choice(SIZES)}-{self._rng.randrange(50)}"
-        return Command(f"p{next(_numbers)}", key, self._rng.random() < 0.3)
+        return Command(f"p{next(_numbers)}", key, self._rng.random() < 0.3, self._judge.timeout_ms)
 
     async def _send_batch(self) -> None:
         remaining = [self._draw() for _ in range(self._rng.randrange(1, 6))]
@@ -122,7 +123,7 @@
         try:
             # The time of a response begins with the last byte of its command, and after the one before it.
             await asyncio.wait([reading, waiting], return_when=asyncio.FIRST_COMPLETED)
-            async with asyncio.timeout(LATEST_RESPONSE_S) as limit:
+            async with asyncio.timeout(self._judge.latest_response_s) as limit:
                 line = await reading
                 if line.startswith(b"VA "):
                     length = int(line.split()[1])
