Share the connection handling of the soak's two kinds of clients

Need: duplicates: connecting and disconnecting stood in soak_clients.py and in soak_pipelines.py. Change: ConnectedClient. The draws are as before.

--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -85,8 +85,8 @@
                 self.findings.append(f"{request_id} sent {at - left_at:.3f} s after its client left")
 
 
-class Client:
-    """A client that sends one request after another, on its connection as long as that stays open."""
+class ConnectedClient:
+    """A client that has one connection to the node, and opens another when that has ended."""
 
     def __init__(self, port: int, rng: random.Random, judge: Judge) -> None:
         self._port = port
@@ -95,6 +95,27 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    async def _connect(self) -> None:
+        """Connect unless connected, as soon as a node listens."""
+        if self._reader is not None and self._reader.at_eof():
+            self._disconnect()
+        while self._writer is None:
+            try:
+                self._reader, self._writer = await asyncio.open_connection(HOST, self._port)
+                # `drain` waits until the kernel has the last byte, from which the time counts.
+                self._writer.transport.set_write_buffer_limits(high=0)
+            except OSError:
+                await asyncio.sleep(0.05)
+
+    def _disconnect(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+
+class Client(ConnectedClient):
+    """A client that sends one request after another, on its connection as long as that stays open."""
+
     async def run(self) -> None:
         """Send requests until cancelled."""
         try:
@@ -159,23 +180,6 @@
         self._judge.response(request_id, key, is_write, line, value)
         return True
 
-    async def _connect(self) -> None:
-        """Connect unless connected, as soon as a node listens."""
-        if self._reader is not None and self._reader.at_eof():
-            self._disconnect()
-        while self._writer is None:
-            try:
-                self._reader, self._writer = await asyncio.open_connection(HOST, self._port)
-                # `drain` waits until the kernel has the last byte, from which the time counts.
-                self._writer.transport.set_write_buffer_limits(high=0)
-            except OSError:
-                await asyncio.sleep(0.05)
-
-    def _disconnect(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = self._writer = None
-
 
 async def leave_early(port: int, rng: random.Random, judge: Judge) -> None:
     """Send reads, often more than a node takes at once, and leave; repeat until cancelled."""
--- a/tests/support/soak_pipelines.py
+++ b/tests/support/soak_pipelines.py
@@ -3,12 +3,11 @@
 import asyncio
 import contextlib
 import itertools
-import random
 import time
 from dataclasses import dataclass
 
-from support.soak_clients import LONG_VALUE_BYTES, Judge
-from support.soak_servers import HOST, value_of
+from support.soak_clients import LONG_VALUE_BYTES, ConnectedClient
+from support.soak_servers import value_of
 
 SLOW_VALUE_S = 11.0  # after its first bytes a value may come slowly; a silent server is given up before
 SIZES = ("tiny", "tiny", "short", "long", "huge")
@@ -33,16 +32,9 @@
         return f"ms {self.key} {len(value)} O{self.request_id} {options}\r\n".encode() + value + b"\r\n"
 
 
-class PipeliningClient:
+class PipeliningClient(ConnectedClient):
     """A client that sends up to five commands at once and reads their responses."""
 
-    def __init__(self, port: int, rng: random.Random, judge: Judge) -> None:
-        self._port = port
-        self._rng = rng
-        self._judge = judge
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-
     async def run(self) -> None:
         """Send commands until cancelled."""
         try:
@@ -145,18 +137,3 @@
             waiting.cancel()
         self._judge.response(command.request_id, command.key, command.is_write, line, value)
         return True
-
-    async def _connect(self) -> None:
-        if self._reader is not None and self._reader.at_eof():
-            self._disconnect()
-        while self._writer is None:
-            try:
-                self._reader, self._writer = await asyncio.open_connection(HOST, self._port)
-                self._writer.transport.set_write_buffer_limits(high=0)
-            except OSError:
-                await asyncio.sleep(0.05)
-
-    def _disconnect(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = self._writer = None
