Return the exact value of a plan in the stand-ins that fail at a point

Need: read again: Plan.value was said to be the value of the key and was longer; value_of cut it. Change: the property returns the value, value_of is gone.

--- a/tests/support/faulty_points.py
+++ b/tests/support/faulty_points.py
@@ -77,17 +77,13 @@
     @property
     def value(self) -> bytes:
         """The value of the key."""
-        return bytes(97 + number * 7 % 26 for number in range(26)) * (self.size // 26 + 1)
-
-
-def value_of(plan: Plan) -> bytes:
-    """Return the value of a plan's key."""
-    return plan.value[: plan.size]
+        pattern = bytes(97 + number * 7 % 26 for number in range(26))
+        return (pattern * (self.size // len(pattern) + 1))[: self.size]
 
 
 def _body(plan: Plan) -> tuple[bytes, bytes]:
     """Return the value as the origin writes it, and what ends it."""
-    value = value_of(plan)
+    value = plan.value
     if plan.form is not Form.CHUNKED:
         return value, b""
     chunks = [value[start : start + CHUNK_BYTES] for start in range(0, len(value), CHUNK_BYTES)]
@@ -218,7 +214,7 @@
             return True
         plan = self._plan(key)
         head = b"VA %d %b h1\r\n" % (plan.size, request_id)
-        return await self._send(writer, plan, head, value_of(plan), b"\r\n")
+        return await self._send(writer, plan, head, plan.value, b"\r\n")
 
 
 class FaultyOrigin(FaultyServer):
--- a/tests/support/timed_reads.py
+++ b/tests/support/timed_reads.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 
-from support.faulty_points import HOST, Fault, Plan, Point, value_of
+from support.faulty_points import HOST, Fault, Plan, Point
 
 TIMEOUT_MS = 1_200
 # A response is late up to half a second after its time, and 50 ms are allowed on sockets; then it is lost.
@@ -83,7 +83,7 @@
                 if response.is_value and wait_s:
                     value = first + await reader.readexactly(plan.size + 1)
                     head = b"VA %d O%b\r\n" % (plan.size, request_id)
-                    response.is_whole = response.line == head and value == value_of(plan) + b"\r\n"
+                    response.is_whole = response.line == head and value == plan.value + b"\r\n"
     finally:
         writer.transport.abort()
     return response
