--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -82,6 +82,7 @@
         self._addresses: dict[str, EndpointAddress] = {}
         self._listed: dict[str, Endpoint] = {}  # endpoints as they were last reported
         self._ready: set[str] = set()
+        self._draining_since: dict[str, float] = {}
 
     def __getitem__(self, server: str) -> EndpointAddress:
         """The address of a server.
@@ -102,6 +103,10 @@
         """Whether any server is in service."""
         return bool(self._ready)
 
+    def draining_since(self, server: str) -> float | None:
+        """When the node learned that a listed server drains, in ms of its clock; None if it does not."""
+        return self._draining_since.get(server)
+
     def apply_json(self, text: bytes, date_ms: float | None = None) -> EndpointUpdate:
         """Parse and apply discovery's JSON.
 
@@ -147,6 +152,9 @@
         if complete:
             self._ready.clear()
             self._listed.clear()
+            listed_servers = {entry.endpoint.server for entry in entries}
+            for server in self._draining_since.keys() - listed_servers:
+                del self._draining_since[server]
             # Keeps the map from growing over a long time with ever new IDs. An attempt in flight has its
             # connection already, and the policy sends no more attempts to a server that is not listed.
             self._addresses.clear()
@@ -165,6 +173,10 @@
         self._ready.discard(server)
         if endpoint.state is EndpointState.READY:
             self._ready.add(server)
+        if endpoint.state is EndpointState.DRAINING:
+            self._draining_since.setdefault(server, self._clock.now())
+        else:
+            self._draining_since.pop(server, None)
         if endpoint.state is EndpointState.GONE:
             self._addresses.pop(server, None)
             self._listed.pop(server, None)
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -9,6 +9,7 @@
 from flintridge.config.address import Address
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
 from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
+from flintridge.discovery.list_freshness import ListFreshness
 from flintridge.runtime.clock import Clock, DeadlineExceededError, sleep, to_ms, with_timeout
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
@@ -67,6 +68,7 @@
         self._needs_full_list = False
         self._logged_correction_ms = 0.0  # correction of the wall clock that was last logged
         self._fallback: EndpointUpdate | None = None  # used only if discovery does not answer
+        self._freshness = ListFreshness(clock)
 
     @property
     def has_list(self) -> bool:
@@ -131,13 +133,14 @@
 
     async def _full_list(self, client: DiscoveryClient) -> DiscoveryResponse:
         """Fetch the full list, for which discovery need not wait, and record how long that took."""
-        started_at = self._clock.now()
+        self._freshness.record_call()
         response = await with_timeout(self._clock, LIST_TIMEOUT_MS, client.get(LIST_PATH))
-        self._counters.observe("list_ms", self._clock.now() - started_at)
+        self._counters.observe("list_ms", self._freshness.call_ms)
         return response
 
     async def _changes(self, client: DiscoveryClient) -> DiscoveryResponse:
         """Wait for and fetch the changes since the known revision."""
+        self._freshness.record_call()
         target = f"{LIST_PATH}?after={self._endpoints.revision}&wait_ms={self._wait_ms:.0f}"
         return await with_timeout(self._clock, self._wait_ms + RESPONSE_TIMEOUT_MS, client.get(target))
 
@@ -178,6 +181,7 @@
         update = self._endpoints.apply_json(response.body, response.date_ms)
         self._log_correction()
         self._counters.add("endpoint_list_updates")
+        self._record_response()
         if update.endpoints:
             states = {endpoint.server: endpoint.state.value for endpoint in update.endpoints}
             self._log.event(
@@ -186,6 +190,17 @@
         self._fallback = None
         self._notify(update)
 
+    def _record_response(self) -> None:
+        if self._freshness.failures:
+            self._counters.observe("list_age_ms", self._freshness.age_ms)
+            self._log.event(
+                "endpoint_list_recovered",
+                address=str(self.discovery),
+                list_age_ms=round(self._freshness.age_ms),
+                failures=self._freshness.failures,
+            )
+        self._freshness.record_response()
+
     def _log_correction(self) -> None:
         starts = self._endpoints.starts
         if starts.correction_ms == self._logged_correction_ms:
@@ -200,9 +215,21 @@
 
     def _report_failure(self, error: Exception) -> None:
         self._counters.add("endpoint_list_failures")
-        self._log.event("endpoint_list_failed", error=repr(error))
+        self._freshness.record_failure()
+        self._log.event(
+            "endpoint_list_failed",
+            error=repr(error),
+            address=str(self.discovery),
+            call="list" if self._needs_full_list else "changes",
+            took_ms=round(self._freshness.call_ms),
+            list_age_ms=round(self._freshness.age_ms),
+            failures=self._freshness.failures,
+        )
         fallback = self._fallback
         if fallback is not None:
             self._fallback = None
+            self._log.event(
+                "configured_list_used", revision=fallback.version, members=len(fallback.endpoints)
+            )
             self._notify(fallback)
         self._notify(EndpointUpdate(UpdateKind.FAILED))
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -24,7 +24,7 @@
 from flintridge.runtime.local_failure import ROUTE_ERRNO, describe_errno, is_local_failure
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
-from flintridge.upstream.beginning import AttemptWithdrawnError, check_may_begin
+from flintridge.upstream.beginning import AttemptWithdrawnError, WithdrawalReason, check_may_begin
 from flintridge.upstream.connection import UpstreamConnection
 from flintridge.upstream.connection_pool import ConnectionLimitError, ConnectionPool
 from flintridge.upstream.connector import Connector, LocalFailureError
@@ -152,8 +152,8 @@
                 progress.result = AttemptResult(Outcome.TIMEOUT)
             elif progress.connection is not None:
                 self._record_unwritten(attempt, progress, progress.connection)
-        except AttemptWithdrawnError:
-            self._counters.add("attempts_expired_unsent")
+        except AttemptWithdrawnError as error:
+            self._record_withdrawn(attempt, error.reason)
             progress.result = AttemptResult(Outcome.WITHDRAWN)
             self._release_unused(attempt.server, progress)
         except LocalFailureError as error:
@@ -189,7 +189,7 @@
         exchange = self._exchange(attempt, endpoint)
         # Establishing the connection may have taken long, so the attempt's preconditions are checked again.
         # Under load the event loop may also not have processed the client's disconnect yet.
-        check = partial(check_may_begin, attempt, self._clock)
+        check = partial(self._check_may_begin, attempt)
         performing = connection.perform(exchange, self._clock, attempt.written_by, check)
         result = await with_timeout(self._clock, attempt.deadline - self._clock.now(), performing)
         if result is None and exchange.streamed_value is None:
@@ -203,6 +203,23 @@
             await self._deliver_value(attempt, exchange, progress, result)
         self._release_if_reusable(attempt, exchange, progress)
 
+    def _check_may_begin(self, attempt: UpstreamAttempt) -> None:
+        """Check that an attempt may begin, and record whether its server is known to drain.
+
+        Raises:
+            AttemptWithdrawnError: It may not.
+        """
+        check_may_begin(attempt, self._clock)
+        draining_since = self._endpoints.draining_since(attempt.server)
+        if draining_since is not None:
+            self._counters.add("attempts_begun_in_drain_grace")
+            self._log.event(
+                "attempt_begun_in_drain_grace",
+                server=attempt.server,
+                id=attempt.id,
+                draining_ms=round(self._clock.now() - draining_since),
+            )
+
     def _check_still_listed(self, server: str, endpoint: EndpointAddress) -> None:
         """Check that the address that was connected to is still the server's.
 
@@ -216,7 +233,7 @@
         except EndpointNotListedError:
             is_same = False
         if not is_same:
-            raise AttemptWithdrawnError
+            raise AttemptWithdrawnError(WithdrawalReason.SERVER_NOT_LISTED)
 
     async def _receive_unreserved_body(
         self, attempt: UpstreamAttempt, exchange: Exchange, progress: Progress
@@ -302,6 +319,18 @@
             "request_not_read", server=attempt.server, id=attempt.id, unwritten=connection.unwritten_bytes
         )
 
+    def _record_withdrawn(self, attempt: UpstreamAttempt, reason: WithdrawalReason) -> None:
+        """Count and log an attempt that was not written."""
+        self._counters.add("attempts_expired_unsent")
+        self._counters.add(f"attempts_withdrawn_{reason.value}")
+        self._log.event(
+            "attempt_withdrawn",
+            server=attempt.server,
+            id=attempt.id,
+            reason=reason.value,
+            waited_ms=round(self._clock.now() - attempt.sent_at),
+        )
+
     def _record_local_failure(self, attempt: UpstreamAttempt, error: BaseException | None) -> None:
         """Count and log that the local machine could not send an attempt."""
         assert isinstance(error, OSError)
--- a/tests/discovery/test_watcher.py
+++ b/tests/discovery/test_watcher.py
@@ -12,6 +12,7 @@
 from flintridge.discovery.client import date_header_ms
 from flintridge.discovery.endpoint_list import EndpointList
 from flintridge.discovery.watcher import DiscoveryWatcher
+from flintridge.lab import virtual
 
 
 def response(status: int, body: bytes, headers: bytes = b"") -> bytes:
@@ -176,3 +177,34 @@
             await watcher.close()
 
     play(test)
+
+
+def test_watch_when_calls_fail_and_discovery_answers_again_then_the_log_has_the_age_of_the_list():
+    async def test():
+        clock, events = ManualClock(), []
+        empty = response(200, orjson.dumps({"revision": 42, "complete": False, "members": []}))
+        responses = [response(503, b""), response(503, b""), empty]
+        async with ScriptedServer(lambda _: responses.pop(0)) as peer:
+            endpoints = EndpointList((), (), SETTINGS, clock)
+            log, counters = log_and_counters()
+            log.event = lambda event, **fields: events.append({"event": event, **fields})
+            updates = []
+            watcher = DiscoveryWatcher(
+                Address("127.0.0.1", peer.port), endpoints, clock, updates.append, log, counters
+            )
+            for calls in range(1, 4):
+                clock.advance(300)
+                watcher.watch(True)
+                await until(lambda calls=calls: len(updates) == calls)
+            first, second, recovered = events
+            assert (first["event"], first["call"], first["failures"]) == (
+                "endpoint_list_failed",
+                "changes",
+                1,
+            )
+            assert (second["list_age_ms"], second["failures"]) == (600, 2)
+            assert (recovered["event"], recovered["list_age_ms"]) == ("endpoint_list_recovered", 900)
+            assert counters.histograms()["list_age_ms"]["count"] == 1
+            await watcher.close()
+
+    virtual.run(test())
--- a/tests/upstream/test_failure_logging.py
+++ b/tests/upstream/test_failure_logging.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from support.long_values import ANSWER, LENGTH, VALUE
 from support.network import RecordedStream, ScriptedServer, until
 from support.upstream import UpstreamHarness
@@ -78,3 +79,44 @@
         listener.close()
 
     virtual.run(test())
+
+
+@pytest.mark.parametrize(
+    ("limit", "reason"), [("begin_by", "drain_grace"), ("written_by", "deduplication_window")]
+)
+def test_attempt_when_it_is_not_written_then_the_log_has_the_reason(monkeypatch, limit, reason):
+    async def test():
+        async with ScriptedServer(lambda _: b"") as server:
+            harness = LoggingHarness(server.port, monkeypatch)
+            await harness.start(**{limit: -1})
+            await until(lambda: harness.results)
+            (event,) = harness.events
+            assert (event["event"], event["server"], event["id"]) == ("attempt_withdrawn", "s1", "a1")
+            assert event["reason"] == reason
+            assert harness.counters[f"attempts_withdrawn_{reason}"] == 1
+            await harness.dispatcher.close()
+
+    virtual.run(test())
+
+
+def test_attempt_when_it_begins_at_a_server_that_drains_then_the_log_has_for_how_long(monkeypatch):
+    async def test():
+        async with ScriptedServer(lambda _: b"EN Oa1\r\n") as server:
+            harness = LoggingHarness(server.port, monkeypatch)
+            entry = {
+                "id": "s1",
+                "host_port": f"127.0.0.1:{server.port}",
+                "flavor": "m2",
+                "phase": "terminating",
+            }
+            harness.endpoints.apply({"revision": 2, "complete": False, "members": [entry]})
+            harness.clock.advance(70)
+            harness.endpoints.apply({"revision": 3, "complete": True, "members": [entry]})
+            await harness.start()
+            await until(lambda: harness.results)
+            (event,) = harness.events
+            assert (event["event"], event["draining_ms"]) == ("attempt_begun_in_drain_grace", 70)
+            assert harness.counters["attempts_begun_in_drain_grace"] == 1
+            await harness.dispatcher.close()
+
+    virtual.run(test())
