--- /dev/null
+++ b/tests/processes/test_drains_beside_discovery_faults.py
@@ -0,0 +1,60 @@
+"""No request reaches a server that drains or has left after its grace, while calls to discovery fail."""
+
+import asyncio
+
+import pytest
+from support.drain_case import drain_beside_fault, start_with_outdated_list
+from support.drain_node import NodeProcess, NodeSettings
+
+PUSHED = NodeSettings(is_pushed=True)
+PUSHED_SHORT_GRACE = NodeSettings(is_pushed=True, grace_s=0.5)
+POLLED = NodeSettings(is_pushed=False)
+
+
+def reset_then_hang(process: NodeProcess) -> None:
+    """The watch is reset, and the next call gets no answer."""
+    process.discovery.call_faults.append("hang")
+    process.discovery.reset_connections()
+
+
+def silent_then_hang(process: NodeProcess) -> None:
+    """The watch falls silent, and the call after it gets no answer either."""
+    process.discovery.call_faults.append("hang")
+    process.discovery.silence_connections()
+
+
+def reset(process: NodeProcess) -> None:
+    """The watch is reset."""
+    process.discovery.reset_connections()
+
+
+def reset_then_busy(process: NodeProcess) -> None:
+    """The watch is reset, and the next call is refused with 503."""
+    process.discovery.call_faults.append("busy")
+    process.discovery.reset_connections()
+
+
+@pytest.mark.parametrize("fault", ["hang", "busy", "reset"])
+@pytest.mark.parametrize("settings", [PUSHED, PUSHED_SHORT_GRACE], ids=["grace-2s", "grace-0.5s"])
+def test_new_process_when_its_first_call_to_discovery_fails_does_not_use_servers_that_have_left(
+    tmp_path, monkeypatch, settings, fault
+):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(start_with_outdated_list(tmp_path, settings, (fault,))) == []
+
+
+def test_pushed_drain_when_the_watch_was_reset_and_the_next_call_hangs_is_kept(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(drain_beside_fault(tmp_path, PUSHED, reset_then_hang)) == []
+
+
+@pytest.mark.parametrize("fault", [reset, reset_then_busy])
+def test_pushed_drain_when_its_grace_is_short_and_calls_fail_is_kept(tmp_path, monkeypatch, fault):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(drain_beside_fault(tmp_path, PUSHED_SHORT_GRACE, fault)) == []
+
+
+@pytest.mark.parametrize("settings", [PUSHED, POLLED], ids=["pushed", "polled"])
+def test_drain_when_the_watch_is_silent_and_the_next_call_hangs_is_kept(tmp_path, monkeypatch, settings):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(drain_beside_fault(tmp_path, settings, silent_then_hang)) == []
