Send a call to discovery again on another connection while it has no response

Callers saw 87 to 90 requests at one server, up to 4.5 s after it had been told to drain, when a watch of pushed lists was reset and the call after it hung; 8 or 9 when the first call of a new process hung; 34 when a polled watch fell silent and the next call hung.

Cause: a node had one call in flight, and waited for it as if it were a watch: up to 4 s after a failure, 3 s for the first list, 2 s after the wait of a watch. The grace allows for one such wait. A silent connection and a discovery with many callers look alike, so a shorter limit would be wrong: the call stays, and is sent again on another connection; the first response counts. A call that follows a failure waits for 20 ms instead of seconds, so that no response means that something is wrong; a watch without a byte 1 s after its wait is given up. Where lists are polled one further call is sent, after 1.5 s, never for the full list: each line is work for all.

--- /dev/null
+++ b/flintridge/discovery/call.py
@@ -0,0 +1,91 @@
+"""The calls to discovery: what each requests, and how long it may take."""
+
+from dataclasses import dataclass
+
+from flintridge.api import DiscoveryMode, Settings
+from flintridge.runtime.clock import to_ms
+
+LIST_PATH = "/api/targets"
+MAX_WATCH_WAIT_MS = 4_000.0
+MIN_WATCH_WAIT_MS = 1_000.0
+# How long a watch call that only confirms the list may wait for a change: it is answered almost at once.
+CONFIRMATION_WAIT_MS = 20.0
+# Time for the first byte of a response to a watch call, beyond the time that the call may wait.
+WATCH_SILENCE_MS = 1_000.0
+RESPONSE_TIMEOUT_MS = 2_000.0  # time for a response, beyond the time that the call may wait
+LIST_TIMEOUT_MS = 3_000.0  # time limit of a call that does not wait
+# Where lists are polled, many nodes call one service, and calls wait for their turn: a second call is not
+# sent early, and only for changes, which are short.
+POLLED_BACKUP_DELAY_MS = 1_500.0
+MAX_PUSHED_BACKUP_DELAY_MS = 500.0
+
+
+@dataclass(slots=True, frozen=True)
+class DiscoveryCall:
+    """One call.
+
+    Attributes:
+        target: The request target.
+        first_byte_ms: Time for the first byte of the response.
+        response_ms: Time for the whole response, not less.
+        backup_delays_ms: Times without a response, each counted from the last call, after which the call is
+            sent again on another connection.
+    """
+
+    target: str
+    first_byte_ms: float
+    response_ms: float
+    backup_delays_ms: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class CallTimes:
+    """The times of a node's calls, which depend on its settings.
+
+    Attributes:
+        watch_wait_ms: How long a watch call may wait for a change.
+        confirmation_backup_delays_ms: `DiscoveryCall.backup_delays_ms` of calls that confirm the list.
+        full_list_backup_delays_ms: The same of calls for the full list.
+    """
+
+    watch_wait_ms: float = MAX_WATCH_WAIT_MS
+    confirmation_backup_delays_ms: tuple[float, ...] = (POLLED_BACKUP_DELAY_MS,)
+    full_list_backup_delays_ms: tuple[float, ...] = ()
+
+    @classmethod
+    def of(cls, settings: Settings) -> "CallTimes":
+        """Return the times for settings.
+
+        A change counts as notified 6 s after the watch that missed it fell silent, and attempts may begin for
+        a drain's grace after that. Within this time a watch call times out, the policy pauses, and one more
+        call may remain without a response. What is pushed counts as notified when discovery has it: after a
+        reset, the list has to be renewed within the grace, even if one call remains without a response.
+        """
+        grace_ms = to_ms(settings.rules.drain_grace_ns)
+        wait_ms = min(MAX_WATCH_WAIT_MS, max(MIN_WATCH_WAIT_MS, grace_ms))
+        if settings.discovery is DiscoveryMode.POLLED:
+            return cls(wait_ms)
+        delay_ms = min(MAX_PUSHED_BACKUP_DELAY_MS, grace_ms / 4)
+        delays_ms = (delay_ms, 2 * delay_ms)
+        return cls(wait_ms, delays_ms, delays_ms)
+
+    def watch(self, revision: int) -> DiscoveryCall:
+        """A call that waits for changes since a revision."""
+        return DiscoveryCall(
+            _changes_target(revision, self.watch_wait_ms),
+            first_byte_ms=self.watch_wait_ms + WATCH_SILENCE_MS,
+            response_ms=self.watch_wait_ms + RESPONSE_TIMEOUT_MS,
+        )
+
+    def confirmation(self, revision: int) -> DiscoveryCall:
+        """A call for the changes since a revision that is answered also if there are none."""
+        target = _changes_target(revision, CONFIRMATION_WAIT_MS)
+        return DiscoveryCall(target, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.confirmation_backup_delays_ms)
+
+    def full_list(self) -> DiscoveryCall:
+        """A call for the full list."""
+        return DiscoveryCall(LIST_PATH, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.full_list_backup_delays_ms)
+
+
+def _changes_target(revision: int, wait_ms: float) -> str:
+    return f"{LIST_PATH}?after={revision}&wait_ms={wait_ms:.0f}"
--- a/flintridge/discovery/client.py
+++ b/flintridge/discovery/client.py
@@ -14,6 +14,7 @@
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
+HTTP_OK = 200
 
 # Pause before another connect attempt when this machine has no port, buffer, descriptor or route at present.
 # The policy's pause after a failed call is up to 2 s, and grows. A few of these in a row would last longer
@@ -43,6 +44,21 @@
     writer: asyncio.StreamWriter
 
 
+@dataclass(slots=True, frozen=True)
+class BegunResponse:
+    """A response of which the first bytes have arrived.
+
+    Attributes:
+        exchange: The request and the response so far, without `first_bytes`.
+        streams: The connection.
+        first_bytes: The first bytes of the response; empty if the connection ended instead.
+    """
+
+    exchange: HttpExchange
+    streams: _Streams
+    first_bytes: bytes
+
+
 def date_header_ms(head: h11.Response) -> float | None:
     """Unix time of a response's `Date` header in milliseconds; None if the header is missing or invalid."""
     value = header_value(head, b"date")
@@ -66,21 +82,35 @@
             ValueError: Discovery answered with another status than 200.
             h11.RemoteProtocolError: The response is not valid HTTP.
         """
+        return await self.receive(await self.begin(target))
+
+    async def begin(self, target: str) -> BegunResponse:
+        """Send a GET request and wait for the first bytes of the response.
+
+        Raises:
+            OSError: The connection could not be opened, or it failed.
+        """
         streams = await self._connection()
         host = f"{self._address.host}:{self._address.port}".encode()
         exchange = HttpExchange(b"GET", target.encode(), [(b"Host", host)], max_body_bytes=MAX_LIST_BYTES)
         streams.writer.writelines(exchange.encode_request())
         await streams.writer.drain()
+        return BegunResponse(exchange, streams, await streams.reader.read(READ_BYTES))
+
+    async def receive(self, begun: BegunResponse) -> DiscoveryResponse:
+        """Receive the rest of a response; raises the same errors as `get`."""
+        exchange = begun.exchange
+        data = begun.first_bytes
         while True:
-            data = await streams.reader.read(READ_BYTES)
             response = exchange.feed(data)
             if response is not None:
                 break
             if not data:
                 raise ConnectionResetError("discovery closed the connection")
+            data = await begun.streams.reader.read(READ_BYTES)
         if not exchange.reusable:
             self.close()
-        if response.head.status_code != 200:
+        if response.head.status_code != HTTP_OK:
             raise ValueError(f"discovery answered with status {response.head.status_code}")
         return DiscoveryResponse(response.body, date_header_ms(response.head))
 
--- a/flintridge/discovery/list_freshness.py
+++ b/flintridge/discovery/list_freshness.py
@@ -8,12 +8,14 @@
 
     Attributes:
         failures: The calls that have failed since the last response.
+        is_confirmed: Whether the last call was answered; before, the list in use may be outdated.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Start without a response; ages count from now."""
         self.failures = 0
         self._clock = clock
+        self.is_confirmed = False
         self._responded_at = clock.now()
         self._called_at = clock.now()
 
@@ -35,7 +37,9 @@
         """Record that discovery answered."""
         self._responded_at = self._clock.now()
         self.failures = 0
+        self.is_confirmed = True
 
     def record_failure(self) -> None:
         """Record that a call failed."""
         self.failures += 1
+        self.is_confirmed = False
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -3,38 +3,20 @@
 import asyncio
 from collections.abc import Callable
 
-import h11
-
-from flintridge.api import EndpointUpdate, Settings, UpdateKind
+from flintridge.api import EndpointUpdate, UpdateKind
 from flintridge.config.address import Address
+from flintridge.discovery.backup_calls import CALL_ERRORS, BackedUpCaller
+from flintridge.discovery.call import CallTimes
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
 from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
 from flintridge.discovery.list_freshness import ListFreshness
-from flintridge.runtime.clock import Clock, DeadlineExceededError, sleep, to_ms, with_timeout
+from flintridge.runtime.clock import Clock, sleep
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
-MAX_WATCH_WAIT_MS = 4_000.0
-MIN_WATCH_WAIT_MS = 1_000.0
-RESPONSE_TIMEOUT_MS = 2_000.0  # time for a response, beyond the time that the call may wait
-LIST_TIMEOUT_MS = 3_000.0  # time limit of a call that does not wait
 # Shortest time between the starts of two watch calls. The next call must start within 200 ms of a response.
 WATCH_INTERVAL_MS = 100.0
-LIST_PATH = "/api/targets"
-
-CALL_ERRORS = (OSError, ValueError, DeadlineExceededError, h11.RemoteProtocolError)
-
-
-def watch_wait_ms(settings: Settings) -> float:
-    """How long a watch call may wait: short enough that a silent call does not outlast a drain's grace.
-
-    A connection that becomes silent delivers nothing, and a change that it misses counts as notified 6 s
-    later. Up to half a second of these 6 s had passed when the last call began, since the response before it
-    may have been in transit. The call times out RESPONSE_TIMEOUT_MS after its wait. The next one follows
-    within half a second and may take LIST_TIMEOUT_MS. With a longer wait, a first attempt could begin after
-    the grace when several nodes poll anew at the same time.
-    """
-    return min(MAX_WATCH_WAIT_MS, max(MIN_WATCH_WAIT_MS, to_ms(settings.rules.drain_grace_ns)))
+DEFAULT_CALL_TIMES = CallTimes()
 
 
 class DiscoveryWatcher:
@@ -52,11 +34,21 @@
         notify: Callable[[EndpointUpdate], None],
         log: EventLog,
         counters: Counters,
-        wait_ms: float = MAX_WATCH_WAIT_MS,
+        times: CallTimes = DEFAULT_CALL_TIMES,
     ) -> None:
-        """`wait_ms`: how long a watch call may wait for a change."""
+        """Start without a call.
+
+        Args:
+            discovery: Address of discovery.
+            endpoints: The list that responses are applied to.
+            clock: The node's clock.
+            notify: Called with each update, and with each failure.
+            log: The node's log.
+            counters: The node's counters.
+            times: The times of calls.
+        """
         self.discovery = discovery
-        self._wait_ms = wait_ms
+        self._times = times
         self._endpoints = endpoints
         self._clock = clock
         self._notify = notify
@@ -122,35 +114,41 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _fetch(self) -> None:
-        client = DiscoveryClient(self.discovery, self._clock)
+        caller = self._caller()
         try:
-            self._report(await self._full_list(client))
+            self._report(await self._full_list(caller))
         except CALL_ERRORS as error:
             if asyncio.current_task() is self._fetch_task:
                 self._report_failure(error)
         finally:
-            client.close()
+            caller.close()
+
+    def _caller(self) -> BackedUpCaller:
+        address = self.discovery
+        return BackedUpCaller(lambda: DiscoveryClient(address, self._clock), self._clock, self._counters)
 
-    async def _full_list(self, client: DiscoveryClient) -> DiscoveryResponse:
+    async def _full_list(self, caller: BackedUpCaller) -> DiscoveryResponse:
         """Fetch the full list, for which discovery need not wait, and record how long that took."""
         self._freshness.record_call()
-        response = await with_timeout(self._clock, LIST_TIMEOUT_MS, client.get(LIST_PATH))
+        response = await caller.get(self._times.full_list())
         self._counters.observe("list_ms", self._freshness.call_ms)
         return response
 
-    async def _changes(self, client: DiscoveryClient) -> DiscoveryResponse:
-        """Wait for and fetch the changes since the known revision."""
+    async def _changes(self, caller: BackedUpCaller) -> DiscoveryResponse:
+        """Fetch the changes since the known revision, and wait for one if the list was confirmed before."""
         self._freshness.record_call()
-        target = f"{LIST_PATH}?after={self._endpoints.revision}&wait_ms={self._wait_ms:.0f}"
-        return await with_timeout(self._clock, self._wait_ms + RESPONSE_TIMEOUT_MS, client.get(target))
+        revision = self._endpoints.revision
+        if self._freshness.is_confirmed:
+            return await caller.get(self._times.watch(revision))
+        return await caller.get(self._times.confirmation(revision))
 
     async def _watch(self) -> None:
-        client = DiscoveryClient(self.discovery, self._clock)
+        caller = self._caller()
         try:
             while True:
                 started_at = self._clock.now()
                 poll = self._full_list if self._needs_full_list else self._changes
-                self._needs_full_list = not self._report_unless_outdated(await poll(client))
+                self._needs_full_list = not self._report_unless_outdated(await poll(caller))
                 # Limits the load on discovery if it answers each call at once.
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
@@ -162,7 +160,7 @@
                 self._watch_task = None  # lets the policy start a watch again at once
                 self._report_failure(error)
         finally:
-            client.close()
+            caller.close()
 
     def _report_unless_outdated(self, response: DiscoveryResponse) -> bool:
         """Report a response; returns False if it is a change to another list than the known one.
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -18,9 +18,10 @@
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.core.memory_budget import MemoryBudget
 from flintridge.core.memory_monitor import MemoryMonitor
+from flintridge.discovery.call import CallTimes
 from flintridge.discovery.endpoint_list import EndpointList, configured_endpoints
 from flintridge.discovery.overrides import EndpointOverrides
-from flintridge.discovery.watcher import DiscoveryWatcher, watch_wait_ms
+from flintridge.discovery.watcher import DiscoveryWatcher
 from flintridge.downstream.listener import Downstream
 from flintridge.fleet import Fleet, FleetContext
 from flintridge.policy.balancer import Balancer
@@ -148,7 +149,7 @@
             self._apply_list,
             self.log,
             self.counters,
-            watch_wait_ms(self.config.settings),
+            CallTimes.of(self.config.settings),
         )
 
     def _make_downstream(self) -> Downstream:
--- /dev/null
+++ b/tests/discovery/test_backup_calls.py
@@ -0,0 +1,140 @@
+"""Calls to discovery that are sent again on another connection while they have no response."""
+
+import asyncio
+
+import pytest
+from support.network import ScriptedServer, log_and_counters
+from support.node import endpoint_list, json_response
+
+from flintridge import api
+from flintridge.config.address import Address
+from flintridge.discovery.backup_calls import BackedUpCaller
+from flintridge.discovery.call import CallTimes, DiscoveryCall
+from flintridge.discovery.client import DiscoveryClient
+from flintridge.lab import virtual
+from flintridge.runtime.clock import NS_PER_MS, DeadlineExceededError, SystemClock
+
+LIST = json_response(endpoint_list(1, s1="in_service"))
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+CALL = DiscoveryCall("/api/targets", 3_000.0, 3_000.0, backup_delays_ms=(200.0, 400.0))
+
+
+async def call_discovery(answers: list, call: DiscoveryCall = CALL, late: bytes | None = None):
+    """Call a discovery that gives these answers; returns the response, the time in ms, and the server.
+
+    With `late`, the first connection gets this answer 1 s after the call.
+    """
+    loop = asyncio.get_running_loop()
+    clock = SystemClock(loop)
+    counters = log_and_counters()[1]
+    async with ScriptedServer(lambda _: answers.pop(0)) as server:
+        address = Address("127.0.0.1", server.port)
+        caller = BackedUpCaller(lambda: DiscoveryClient(address, clock), clock, counters)
+        if late is not None:
+            loop.call_later(1.0, lambda: server.writers[0].write(late))
+        started_at = clock.now()
+        try:
+            response = await caller.get(call)
+            return response, clock.now() - started_at, server, caller
+        except (ValueError, DeadlineExceededError) as error:
+            return error, clock.now() - started_at, server, caller
+
+
+@pytest.mark.parametrize(
+    ("answers", "taken_ms", "calls"),
+    [
+        ([LIST], 0, 1),
+        ([b"", LIST], 200, 2),
+        ([b"", b"", LIST], 600, 3),
+        ([b"", BUSY, LIST], 600, 3),
+        ([b"", "rst", LIST], 600, 3),
+    ],
+)
+def test_call_when_it_has_no_response_is_sent_again_on_another_connection(answers, taken_ms, calls):
+    async def test():
+        response, ms, server, _ = await call_discovery(answers)
+        assert b"in_service" in response.body
+        assert taken_ms <= ms < taken_ms + 50
+        assert (len(server.received), server.connections) == (calls, calls)
+
+    virtual.run(test())
+
+
+def test_call_when_its_response_comes_late_is_not_given_up_for_its_backup():
+    async def test():
+        response, ms, server, _ = await call_discovery([b"", b"", b""], late=LIST)
+        assert b"in_service" in response.body
+        assert 1_000 <= ms < 1_050
+        assert server.connections == 3
+
+    virtual.run(test())
+
+
+@pytest.mark.parametrize(
+    ("answers", "error", "taken_ms"),
+    [
+        ([BUSY], "discovery answered with status 503", 0),
+        ([b"", b"", b""], "", 3_600),
+        ([b"", b"", BUSY], "", 3_200),
+    ],
+)
+def test_call_when_all_fail_then_fails_with_the_last_error(answers, error, taken_ms):
+    async def test():
+        failure, ms, _, _ = await call_discovery(answers)
+        assert error in str(failure)
+        assert taken_ms <= ms < taken_ms + 50
+
+    virtual.run(test())
+
+
+def test_call_when_a_backup_answers_then_its_connection_is_used_further():
+    async def test():
+        clock = SystemClock(asyncio.get_running_loop())
+        answers = [b"", LIST, LIST]
+        async with ScriptedServer(lambda _: answers.pop(0)) as server:
+            address = Address("127.0.0.1", server.port)
+            caller = BackedUpCaller(lambda: DiscoveryClient(address, clock), clock, log_and_counters()[1])
+            await caller.get(CALL)
+            await caller.get(CALL)
+            assert server.connections == 2
+            await asyncio.sleep(0.01)
+            assert [writer.transport.is_closing() for writer in server.writers] == [True, False]
+            caller.close()
+
+    virtual.run(test())
+
+
+def test_call_when_cancelled_then_leaves_no_call_in_flight():
+    async def test():
+        clock = SystemClock(asyncio.get_running_loop())
+        async with ScriptedServer(lambda _: b"") as server:
+            address = Address("127.0.0.1", server.port)
+            caller = BackedUpCaller(lambda: DiscoveryClient(address, clock), clock, log_and_counters()[1])
+            calling = asyncio.create_task(caller.get(CALL))
+            await asyncio.sleep(0.3)
+            calling.cancel()
+            await asyncio.gather(calling, return_exceptions=True)
+            caller.close()
+            await asyncio.sleep(0.01)
+            assert all(writer.transport.is_closing() for writer in server.writers)
+            assert len(asyncio.all_tasks()) == 1
+
+    virtual.run(test())
+
+
+@pytest.mark.parametrize("mode", list(api.DiscoveryMode))
+@pytest.mark.parametrize("grace_ms", [500, 1_000, 2_000, 10_000])
+def test_times_when_one_call_after_a_failure_has_no_response_then_the_list_is_renewed_within_the_grace(
+    mode, grace_ms
+):
+    rules = api.Rules(drain_grace_ns=grace_ms * NS_PER_MS)
+    times = CallTimes.of(api.Settings(rules=rules, discovery=mode))
+    confirmation = times.confirmation(1)
+    first_backup_ms = confirmation.backup_delays_ms[0]
+    if mode is api.DiscoveryMode.PUSHED:
+        assert first_backup_ms <= grace_ms / 4
+        assert times.full_list().backup_delays_ms == confirmation.backup_delays_ms
+    else:
+        pause_ms = 500
+        assert times.watch(1).first_byte_ms + pause_ms + first_backup_ms <= max(6_000, 5_000 + grace_ms)
+        assert times.full_list().backup_delays_ms == ()
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -14,8 +14,8 @@
 from flintridge.api import EndpointState
 from flintridge.config.address import Address
 from flintridge.discovery import client as client_module
+from flintridge.discovery.call import LIST_TIMEOUT_MS
 from flintridge.discovery.client import LOCAL_FAILURE_PAUSE_MS, MAX_LOCAL_FAILURES, DiscoveryClient
-from flintridge.discovery.watcher import LIST_TIMEOUT_MS
 from flintridge.lab import virtual
 from flintridge.runtime.clock import NS_PER_MS
 
