Use the configured list only after 1.5 s without an answer, not after the first failed call

Cause: the first failed call was taken for a discovery that is down, and the list of the configuration was used at once. What is pushed counts as told from the first moment of a process, unless discovery is down. The node now keeps calling for 1.5 s, and answers mn when it has a list.

--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -10,12 +10,15 @@
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
 from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
 from flintridge.discovery.list_freshness import ListFreshness
-from flintridge.runtime.clock import Clock, sleep
+from flintridge.runtime.clock import Clock, Timer, sleep
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
 # Shortest time between the starts of two watch calls. The next call must start within 200 ms of a response.
 WATCH_INTERVAL_MS = 100.0
+# How long a starting node tries to get a list before it uses the configured one. It sends several calls in
+# this time, so that failures of one or two do not suffice.
+FALLBACK_AFTER_MS = 1_500.0
 DEFAULT_CALL_TIMES = CallTimes()
 
 
@@ -60,6 +63,7 @@
         self._needs_full_list = False
         self._logged_correction_ms = 0.0  # correction of the wall clock that was last logged
         self._fallback: EndpointUpdate | None = None  # used only if discovery does not answer
+        self._fallback_timer: Timer | None = None
         self._freshness = ListFreshness(clock)
 
     @property
@@ -68,12 +72,14 @@
         return self._fallback is None
 
     def watch_with_fallback(self, configured: EndpointUpdate) -> None:
-        """Watch, beginning with the full list; report `configured` only if discovery does not answer.
+        """Watch, beginning with the full list; report `configured` only if discovery cannot be reached.
 
         For settings with pushed lists. A pushed list counts as notified from the first moment of a process,
-        so an outdated list could name servers whose drain ended long ago.
+        so an outdated list could name servers whose drain ended long ago. While discovery is down nothing
+        counts as notified; a single failed call does not show that it is.
         """
         self._fallback = configured
+        self._fallback_timer = self._clock.call_at(self._clock.now() + FALLBACK_AFTER_MS, self._use_fallback)
         self._needs_full_list = True
         self.watch(True)
 
@@ -108,6 +114,8 @@
 
     async def close(self) -> None:
         """Cancel all calls."""
+        if self._fallback_timer is not None:
+            self._fallback_timer.cancel()
         tasks = [task for task in (self._watch_task, self._fetch_task) if task is not None]
         for task in tasks:
             task.cancel()
@@ -223,11 +231,12 @@
             list_age_ms=round(self._freshness.age_ms),
             failures=self._freshness.failures,
         )
-        fallback = self._fallback
-        if fallback is not None:
-            self._fallback = None
-            self._log.event(
-                "configured_list_used", revision=fallback.version, members=len(fallback.endpoints)
-            )
-            self._notify(fallback)
         self._notify(EndpointUpdate(UpdateKind.FAILED))
+
+    def _use_fallback(self) -> None:
+        fallback = self._fallback
+        if fallback is None:
+            return
+        self._fallback = None
+        self._log.event("configured_list_used", revision=fallback.version, members=len(fallback.endpoints))
+        self._notify(fallback)
