Pause after a failed call to discovery for a part of the grace, where lists are pushed

Callers saw 1 or 2 requests at servers after a grace of 0.5 s, when a watch of pushed lists was reset and the next call was refused with 503.

Cause: the pause after a failed call was 250 to 500 ms whatever the grace, but what is pushed counts as told when discovery has it.

--- a/flintridge/policy/mechanisms.py
+++ b/flintridge/policy/mechanisms.py
@@ -48,7 +48,8 @@
         limits = settings.limits
         self.settings = settings
         self.rng = rng
-        self.watch_backoff = WatchBackoff(settings.discovery, rng)
+        drain_grace_ns = settings.rules.drain_grace_ns
+        self.watch_backoff = WatchBackoff(settings.discovery, rng, drain_grace_ns)
         self.table = ServerTable(origin_kind, settings.rules)
         self.servers = self.table.servers
         self.ready = self.table.ready
@@ -62,7 +63,6 @@
         self.selection = ServerSelection(self.table, self.cache_limiter, self.outliers, self.slow_start)
         self.coalescing = RequestCoalescing()
         self.stale_connections = StaleConnections(limits.conn_idle_ns)
-        drain_grace_ns = settings.rules.drain_grace_ns
         self.retries = RetryPolicy(limits.max_attempts, drain_grace_ns, has_origin=origin_kind is not None)
         self.attempt_timeout = AttemptTimeout(self.retries, self.stale_connections)
         self.feedback = AttemptFeedback(
--- /dev/null
+++ b/tests/support/reserved_port.py
@@ -0,0 +1,19 @@
+"""A port on loopback for node processes that are started later."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+HOST = "127.0.0.1"
+
+
+@contextlib.contextmanager
+def reserved_port() -> Iterator[int]:
+    """Reserve a port that only processes which share it (SO_REUSEPORT) can listen on, as nodes do.
+
+    A port that was free a moment ago may have been given to another socket by the time a node listens on it.
+    """
+    with socket.socket() as reservation:
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        reservation.bind((HOST, 0))
+        yield reservation.getsockname()[1]
