Reserve the ports of nodes in process tests, and run the drains beside discovery one at a time

The port was chosen, released, and taken again a second later, with other sockets bound in between. It is now reserved by a socket that shares it as the node does, in all three places that chose one, and the exit code is in the message.

--- a/tests/processes/test_drains_beside_discovery_faults.py
+++ b/tests/processes/test_drains_beside_discovery_faults.py
@@ -9,6 +9,7 @@
 PUSHED = NodeSettings(is_pushed=True)
 PUSHED_SHORT_GRACE = NodeSettings(is_pushed=True, grace_s=0.5)
 POLLED = NodeSettings(is_pushed=False)
+pytestmark = pytest.mark.xdist_group("drains")  # their clients keep a core busy
 
 
 def reset_then_hang(process: NodeProcess) -> None:
--- a/tests/support/drain_case.py
+++ b/tests/support/drain_case.py
@@ -3,15 +3,14 @@
 import asyncio
 import contextlib
 import random
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
-from support.drain_discovery import HOST
 from support.drain_list import TERMINATED, TERMINATING, MemberList
 from support.drain_node import NodeProcess, NodeSettings
 from support.drain_servers import measure_stalls
+from support.reserved_port import reserved_port
 from support.soak_clients import Client, Judge
 from support.soak_servers import Received
 
@@ -51,21 +50,19 @@
         Args:
             first_faults: The faults of the process's first calls to discovery.
         """
-        with socket.socket() as listening:
-            listening.bind((HOST, 0))
-            port = listening.getsockname()[1]
-        tasks = [asyncio.create_task(measure_stalls(self._received))]
-        judge = Judge(self._received)
-        clients = [Client(port, random.Random(self._rng.random()), judge) for _ in range(CLIENTS)]
-        tasks += [asyncio.create_task(client.run()) for client in clients]
-        try:
-            await self.process.start(port, self._known, list(SERVERS), list(first_faults))
-            yield
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            await self.process.close()
+        with reserved_port() as port:
+            tasks = [asyncio.create_task(measure_stalls(self._received))]
+            judge = Judge(self._received)
+            clients = [Client(port, random.Random(self._rng.random()), judge) for _ in range(CLIENTS)]
+            tasks += [asyncio.create_task(client.run()) for client in clients]
+            try:
+                await self.process.start(port, self._known, list(SERVERS), list(first_faults))
+                yield
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                await self.process.close()
 
     async def until_next_call(self) -> None:
         """Wait until the process has begun another call to discovery."""
--- a/tests/support/drain_soak.py
+++ b/tests/support/drain_soak.py
@@ -1,17 +1,18 @@
 """A soak of drains: node processes whose servers drain, leave and return while discovery has faults."""
 
 import asyncio
+import contextlib
 import random
-import socket
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 from support import crowd
-from support.drain_discovery import HOST, FaultyDiscovery
+from support.drain_discovery import FaultyDiscovery
 from support.drain_list import IN_SERVICE, TERMINATED, TERMINATING, MemberList
 from support.drain_node import NodeProcess, NodeSettings
 from support.drain_servers import measure_stalls
+from support.reserved_port import reserved_port
 from support.soak_clients import Client, Judge
 from support.soak_servers import Received
 
@@ -109,10 +110,11 @@
 
     async def run(self) -> Result:
         """Play the run and judge it."""
-        for _ in range(NODES):
-            with socket.socket() as listening:
-                listening.bind((HOST, 0))
-                self._ports.append(listening.getsockname()[1])
+        with contextlib.ExitStack() as stack:
+            self._ports = [stack.enter_context(reserved_port()) for _ in range(NODES)]
+            return await self._play()
+
+    async def _play(self) -> Result:
         self._tasks.append(asyncio.create_task(measure_stalls(self._received)))
         try:
             for node in range(NODES):
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -111,4 +111,5 @@
             event = json.loads(line)
             if event["event"] == name:
                 return event
-        raise AssertionError(f"the program ended without {name!r}")
+        code = await self.process.wait()
+        raise AssertionError(f"the program ended with {code}, without {name!r}")
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -5,7 +5,6 @@
 import math
 import random
 import signal
-import socket
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 from support import crowd
 from support.network import ScriptedServer
 from support.program import Program
+from support.reserved_port import reserved_port
 from support.soak_clients import TIMEOUT_MS, Client, Judge, leave_early
 from support.soak_message_faults import PointFaultCache, PointFaultOrigin
 from support.soak_pipelines import PipeliningClient
@@ -112,12 +112,14 @@
         self._process_count = 0
         self._log: deque[str] = deque(maxlen=KEPT_LOG_LINES)
         self._log_readers: list[asyncio.Task[None]] = []
-        with socket.socket() as listening:
-            listening.bind((crowd.HOST, 0))
-            self._port = listening.getsockname()[1]
+        self._port = 0
 
     async def run(self) -> Result:
         """Play the run and judge it."""
+        with reserved_port() as self._port:
+            return await self._play()
+
+    async def _play(self) -> Result:
         cache_class = PointFaultCache if self._message_faults else DisturbedCache
         origin_class = PointFaultOrigin if self._message_faults else DisturbedOrigin
         cache = cache_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
