Read discovery's responses 64 KiB at a time instead of 2 KiB

A busy node learned of drains late: a full list of 800 servers took 1.0 and 1.2 s beside a crowd of 300 (36 ms without one), a short one 0.18 s.

Cause: since all connections that a node opens are read 2 KiB in each iteration of the event loop, which is meant for servers, whose responses need reserved memory beyond that. Discovery's list is limited by itself (4 MiB), and a crowd makes each iteration some 20 to 100 ms long.

The test counts reads: 30 for 800 servers and 121 for 3,200 before (6 and 20 allowed).

--- a/flintridge/discovery/client.py
+++ b/flintridge/discovery/client.py
@@ -10,7 +10,13 @@
 from flintridge.config.address import Address
 from flintridge.runtime.clock import Clock, sleep
 from flintridge.runtime.local_failure import is_local_failure
-from flintridge.runtime.streams import TrackingReader, has_pending_input, is_reusable, open_connection
+from flintridge.runtime.streams import (
+    TrackingReader,
+    has_pending_input,
+    is_reusable,
+    limit_read_size,
+    open_connection,
+)
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -137,6 +143,8 @@
             reader = TrackingReader(asyncio.get_running_loop())
             try:
                 writer = await open_connection(reader, self._address.host, self._address.port)
+                # A busy event loop reads once in each iteration: a long list has to take few of them.
+                limit_read_size(writer.transport, READ_BYTES)
                 return _Streams(reader, writer)
             except OSError as error:
                 failures += 1
--- a/tests/discovery/test_watcher.py
+++ b/tests/discovery/test_watcher.py
@@ -6,13 +6,16 @@
 import orjson
 import pytest
 from support.network import SETTINGS, ManualClock, ScriptedServer, log_and_counters, until
+from support.node import endpoint_list, json_response
 
 from flintridge.api import UpdateKind
 from flintridge.config.address import Address
-from flintridge.discovery.client import date_header_ms
+from flintridge.discovery import client as client_module
+from flintridge.discovery.client import DiscoveryClient, date_header_ms
 from flintridge.discovery.endpoint_list import EndpointList
 from flintridge.discovery.watcher import DiscoveryWatcher
 from flintridge.lab import virtual
+from flintridge.runtime.streams import TrackingReader
 
 
 def response(status: int, body: bytes, headers: bytes = b"") -> bytes:
@@ -164,6 +167,33 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize(("servers", "most_reads"), [(10, 2), (800, 6), (3_200, 20)])
+def test_list_when_it_is_long_then_is_read_in_few_iterations(monkeypatch, servers, most_reads):
+    """Guards against drains that become known late because a busy node reads 2 KiB in each iteration."""
+    reads = []
+    feed_data = TrackingReader.feed_data
+
+    def counted(reader, data):
+        reads.append(len(data))
+        feed_data(reader, data)
+
+    async def test():
+        phases = {f"s{number}": "in_service" for number in range(servers)}
+        full_list = json_response(endpoint_list(1, **phases))
+        async with ScriptedServer(lambda _: full_list) as peer:
+            client = DiscoveryClient(Address("127.0.0.1", peer.port), ManualClock())
+            monkeypatch.setattr(client_module, "TrackingReader", CountingReader)
+            received = await client.get("/api/targets")
+            assert len(orjson.loads(received.body)["members"]) == servers
+            client.close()
+
+    class CountingReader(TrackingReader):
+        feed_data = counted
+
+    asyncio.run(test())
+    assert len(reads) <= most_reads
+
+
 DATES_MS = {
     b"Thu, 01 Jan 1970 00:00:05 GMT": 5_000.0,
     b"Thu, 01 Jan 1970 00:00:05 -0000": 5_000.0,
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -13,6 +13,7 @@
 from support.network import ScriptedServer
 from support.paths import ROOT
 
+MAX_LOG_LINE_BYTES = 4 * 1024 * 1024  # a line with the endpoint list of a large fleet
 SETTINGS = {
     "services": [
         {"name": "read", "effect": "retryable", "sloNs": 10**9, "hardLimitNs": 10 * 10**9},
@@ -81,6 +82,7 @@
         set_limits = max_descriptors and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *program, cwd=ROOT, stdout=subprocess.PIPE, preexec_fn=set_limits,
+            limit=MAX_LOG_LINE_BYTES,
             env={**os.environ, "PROXY_CONFIG": str(self.config)},
         )  # fmt: skip
         return (await self.event("serving"))["port"]
