Withdraw an attempt that has not begun when its server is known to drain

What callers could see: a request at a server up to 1.85 s after the node had learned that it drains, if its connection came up that late.

Cause: the limit was counted from the decision, as if the drain began then. The first byte is now written only if the server is in service at that moment, and at the same address, checked again while the kernel accepts nothing. The limit from the decision stays: it covers drains that the node does not know yet.

--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -82,7 +82,6 @@
         self._addresses: dict[str, EndpointAddress] = {}
         self._listed: dict[str, Endpoint] = {}  # endpoints as they were last reported
         self._ready: set[str] = set()
-        self._draining_since: dict[str, float] = {}
 
     def __getitem__(self, server: str) -> EndpointAddress:
         """The address of a server.
@@ -103,9 +102,9 @@
         """Whether any server is in service."""
         return bool(self._ready)
 
-    def draining_since(self, server: str) -> float | None:
-        """When the node learned that a listed server drains, in ms of its clock; None if it does not."""
-        return self._draining_since.get(server)
+    def is_in_service(self, server: str) -> bool:
+        """Whether a server is listed and in service."""
+        return server in self._ready
 
     def apply_json(self, text: bytes, date_ms: float | None = None) -> EndpointUpdate:
         """Parse and apply discovery's JSON.
@@ -152,9 +151,6 @@
         if complete:
             self._ready.clear()
             self._listed.clear()
-            listed_servers = {entry.endpoint.server for entry in entries}
-            for server in self._draining_since.keys() - listed_servers:
-                del self._draining_since[server]
             # Keeps the map from growing over a long time with ever new IDs. An attempt in flight has its
             # connection already, and the policy sends no more attempts to a server that is not listed.
             self._addresses.clear()
@@ -173,10 +169,6 @@
         self._ready.discard(server)
         if endpoint.state is EndpointState.READY:
             self._ready.add(server)
-        if endpoint.state is EndpointState.DRAINING:
-            self._draining_since.setdefault(server, self._clock.now())
-        else:
-            self._draining_since.pop(server, None)
         if endpoint.state is EndpointState.GONE:
             self._addresses.pop(server, None)
             self._listed.pop(server, None)
--- a/flintridge/upstream/beginning.py
+++ b/flintridge/upstream/beginning.py
@@ -18,6 +18,8 @@
     """The request may have run, and must not be repeated any more."""
     REQUEST_ENDED = "request_ended"
     """The request has its final response, or its client has disconnected."""
+    SERVER_DRAINING = "server_draining"
+    """The server wants no new requests."""
     SERVER_NOT_LISTED = "server_not_listed"
     """The server has another address by now, or has left the list."""
 
--- a/flintridge/upstream/dispatcher.py
+++ b/flintridge/upstream/dispatcher.py
@@ -185,11 +185,10 @@
         endpoint = self._endpoints[attempt.server]
         connection = await self._connector.connect(attempt, endpoint.address, self._connect_timeout_ms)
         progress.connection = connection
-        self._check_still_listed(attempt.server, endpoint)
         exchange = self._exchange(attempt, endpoint)
         # Establishing the connection may have taken long, so the attempt's preconditions are checked again.
         # Under load the event loop may also not have processed the client's disconnect yet.
-        check = partial(self._check_may_begin, attempt)
+        check = partial(self._check_may_begin, attempt, endpoint)
         performing = connection.perform(exchange, self._clock, attempt.written_by, check)
         result = await with_timeout(self._clock, attempt.deadline - self._clock.now(), performing)
         if result is None and exchange.streamed_value is None:
@@ -203,37 +202,25 @@
             await self._deliver_value(attempt, exchange, progress, result)
         self._release_if_reusable(attempt, exchange, progress)
 
-    def _check_may_begin(self, attempt: UpstreamAttempt) -> None:
-        """Check that an attempt may begin, and record whether its server is known to drain.
+    def _check_may_begin(self, attempt: UpstreamAttempt, endpoint: EndpointAddress) -> None:
+        """Check that an attempt may begin, and that its server still wants requests at this address.
+
+        A drain counts as notified when discovery has written it, which a busy node learns later. The grace
+        that is left then is not known, so it is not used. The address guards against sending a request to
+        another server that has come up at the address of one that left.
 
         Raises:
             AttemptWithdrawnError: It may not.
         """
         check_may_begin(attempt, self._clock)
-        draining_since = self._endpoints.draining_since(attempt.server)
-        if draining_since is not None:
-            self._counters.add("attempts_begun_in_drain_grace")
-            self._log.event(
-                "attempt_begun_in_drain_grace",
-                server=attempt.server,
-                id=attempt.id,
-                draining_ms=round(self._clock.now() - draining_since),
-            )
-
-    def _check_still_listed(self, server: str, endpoint: EndpointAddress) -> None:
-        """Check that the address that was connected to is still the server's.
-
-        Guards against sending a request to another server that has come up at the address of one that left.
-
-        Raises:
-            AttemptWithdrawnError: The server has another address by now, or is no longer listed.
-        """
         try:
-            is_same = self._endpoints[server] == endpoint
+            is_same = self._endpoints[attempt.server] == endpoint
         except EndpointNotListedError:
             is_same = False
         if not is_same:
             raise AttemptWithdrawnError(WithdrawalReason.SERVER_NOT_LISTED)
+        if not self._endpoints.is_in_service(attempt.server):
+            raise AttemptWithdrawnError(WithdrawalReason.SERVER_DRAINING)
 
     async def _receive_unreserved_body(
         self, attempt: UpstreamAttempt, exchange: Exchange, progress: Progress
--- a/tests/upstream/test_attempt_termination.py
+++ b/tests/upstream/test_attempt_termination.py
@@ -77,6 +77,30 @@
     play(test)
 
 
+@pytest.mark.parametrize("value", [None, b"x" * 300_000], ids=["read", "write-in-parts"])
+def test_attempt_when_its_server_drains_before_the_first_byte_is_withdrawn_unwritten(
+    play, monkeypatch, value
+):
+    async def test():
+        async with ScriptedServer(lambda _: VALUE) as server:
+            harness = UpstreamHarness(server.port, monkeypatch=monkeypatch)
+            harness.dispatcher._connect_timeout_ms = 400.0
+            await harness.start(value=value)
+            await until(lambda: harness.connects_started == 1)
+            address = f"127.0.0.1:{server.port}"
+            member = {"id": "s1", "host_port": address, "flavor": "m2", "phase": "terminating"}
+            harness.endpoints.apply({"revision": 2, "complete": False, "members": [member]})
+            harness.allow_connect.set()
+            await until(lambda: harness.results)
+            assert harness.results == [AttemptResult(Outcome.WITHDRAWN)]
+            assert harness.counters["attempts_withdrawn_server_draining"] == 1
+            await turns()
+            assert server.received == []
+            await harness.dispatcher.close()
+
+    play(test)
+
+
 def test_attempt_when_its_connection_comes_up_at_the_limit_is_written(play, monkeypatch):
     async def test():
         async with ScriptedServer(lambda _: VALUE) as server:
