Call a new address of discovery only once the node has started its watch

A SIGHUP with another address of discovery that arrives while a process starts (it waits for the ids of the other processes of an upgrade) began a watch at once. The start then reported the configuration's list after the newer one: servers that drain were in service again for the policy, until they changed once more, and beside pushed lists any failed call did the same.

The address is now only noted before the start, and the watch begins there with the full list.

--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -62,6 +62,7 @@
         # Changes since the known revision would mean nothing: the next call fetches the full list.
         self._needs_full_list = False
         self._logged_correction_ms = 0.0  # correction of the wall clock that was last logged
+        self._is_started = False
         self._fallback: EndpointUpdate | None = None  # used only if discovery does not answer
         self._fallback_timer: Timer | None = None
         self._freshness = ListFreshness(clock)
@@ -85,6 +86,7 @@
 
     def watch(self, on: bool) -> None:
         """Start the watch, or end it. A running watch is not started twice: that is a call too many."""
+        self._is_started = True
         running = self._watch_task is not None and not self._watch_task.done()
         if on and not running:
             self._watch_task = asyncio.ensure_future(self._watch())
@@ -95,10 +97,13 @@
         """Continue at another address, at once and from its full list.
 
         Its revisions need not continue the old ones. Only calls to the old address are cancelled; what they
-        would have reported is in the new full list.
+        would have reported is in the new full list. Before the first watch, nothing is called: the configured
+        list, which is reported when the node starts, would replace a newer one.
         """
         self.discovery = discovery
         self._needs_full_list = True
+        if not self._is_started:
+            return
         fetching = self._fetch_task is not None and not self._fetch_task.done()
         for task in (self._watch_task, self._fetch_task):
             if task is not None:
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -4,6 +4,7 @@
 import errno
 import os
 import socket
+from dataclasses import replace
 
 import pytest
 from support.downstream_termination import send_or_close
@@ -232,3 +233,35 @@
 
     monkeypatch.setattr(client_module, "open_connection", refused)
     play(test)
+
+
+@pytest.mark.parametrize("mode", list(api.DiscoveryMode))
+def test_reload_when_it_arrives_before_the_node_has_started_then_no_older_list_replaces_the_new_one(
+    play, mode
+):
+    """Guards against the configuration's list being applied after discovery's list."""
+
+    async def test():
+        settings = api.Settings(discovery=mode)
+        full_list = json_response(endpoint_list(7, s1="terminating", s2="in_service"))
+        answers = [full_list, b""]
+        async with (
+            ScriptedServer(lambda _: b"") as old,
+            ScriptedServer(lambda _: answers.pop(0) if answers else b"") as new,
+        ):
+            known = endpoint_list(1, s1="in_service", s2="in_service")
+            alone = NodeHarness(old, known, settings)
+            alone.node.reload(replace(alone.node.config, discovery=Address("127.0.0.1", new.port)))
+            await asyncio.sleep(0.02)  # the node waits for other processes before it starts its own discovery
+            await alone.node.start()
+            await until(lambda: alone.state("s1") is EndpointState.DRAINING)
+            await alone.advance_until(lambda: len(new.received) == 2, 1_000)
+            assert b"GET /api/targets HTTP" in new.received[0]
+            assert b"after=7&" in new.received[1]
+            new.writers[-1].transport.abort()
+            await alone.advance_until(lambda: len(new.received) == 3, 3_000)
+            assert alone.state("s1") is EndpointState.DRAINING
+            assert not old.received
+            await alone.node.close()
+
+    play(test)
