Do not call discovery without pauses where the grace of a drain is very short or zero

Pauses and backup delays of pushed lists follow the grace since. With a grace of 0, which settings without rules have, the three calls were sent at once, and failed calls were repeated without a pause. Both now count a grace of 200 ms at least.

--- a/flintridge/discovery/call.py
+++ b/flintridge/discovery/call.py
@@ -18,6 +18,7 @@
 # sent early, and only for changes, which are short.
 POLLED_BACKUP_DELAY_MS = 1_500.0
 MAX_PUSHED_BACKUP_DELAY_MS = 500.0
+MIN_PUSHED_BACKUP_DELAY_MS = 50.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +66,7 @@
         wait_ms = min(MAX_WATCH_WAIT_MS, max(MIN_WATCH_WAIT_MS, grace_ms))
         if settings.discovery is DiscoveryMode.POLLED:
             return cls(wait_ms)
-        delay_ms = min(MAX_PUSHED_BACKUP_DELAY_MS, grace_ms / 4)
+        delay_ms = max(MIN_PUSHED_BACKUP_DELAY_MS, min(MAX_PUSHED_BACKUP_DELAY_MS, grace_ms / 4))
         delays_ms = (delay_ms, 2 * delay_ms)
         return cls(wait_ms, delays_ms, delays_ms)
 
--- a/flintridge/policy/watch_backoff.py
+++ b/flintridge/policy/watch_backoff.py
@@ -13,6 +13,7 @@
 # be answered within the grace of a drain. Once discovery is back after an outage, the first one has to be.
 FIRST_PAUSE_PER_GRACE_PUSHED = 0.25
 MAX_PAUSE_PER_GRACE_PUSHED = 0.6
+MIN_GRACE_MS = 200  # shorter ones do not shorten the pauses: discovery would be called without end
 
 
 class WatchBackoff:
@@ -26,7 +27,7 @@
             rng: Draws the pauses.
             drain_grace_ns: How long attempts may still begin at a draining server, in nanoseconds.
         """
-        grace_ms = drain_grace_ns / NS_PER_MS
+        grace_ms = max(MIN_GRACE_MS, drain_grace_ns / NS_PER_MS)
         if discovery is DiscoveryMode.POLLED:
             self._first_pause_ms: float = MAX_FIRST_PAUSE_MS
             self._max_pause_ms: float = MAX_FIRST_PAUSE_MS * 2**MAX_DOUBLINGS_POLLED
--- a/tests/discovery/test_backup_calls.py
+++ b/tests/discovery/test_backup_calls.py
@@ -140,3 +140,8 @@
         pause_ms = 500
         assert times.watch(1).first_byte_ms + pause_ms + first_backup_ms <= max(6_000, 5_000 + grace_ms)
         assert times.full_list().backup_delays_ms == ()
+
+
+def test_times_without_a_grace_then_calls_are_not_all_sent_at_once():
+    times = CallTimes.of(api.Settings(discovery=api.DiscoveryMode.PUSHED, rules=api.Rules(drain_grace_ns=0)))
+    assert times.full_list().backup_delays_ms == (50.0, 100.0)
--- a/tests/policy/test_watch_backoff.py
+++ b/tests/policy/test_watch_backoff.py
@@ -35,3 +35,10 @@
     )  # an overloaded discovery is not called too often
     backoff.record_success()
     assert backoff.record_failure() <= grace_ms * MS / 4
+
+
+def test_pauses_without_a_grace_are_those_of_a_grace_of_200_ms_if_the_list_is_pushed():
+    backoffs = [WatchBackoff(DiscoveryMode.PUSHED, random.Random(1), grace) for grace in (0, 200 * MS)]
+    without_grace, with_grace = ([backoff.record_failure() for _ in range(9)] for backoff in backoffs)
+    assert without_grace == with_grace
+    assert min(without_grace) >= 25 * MS
