Keep the watch on discovery after an error that is not expected

The error is now logged with its trace, and counts as a failed call, which the policy repeats.

The test raises a RuntimeError and a KeyError when a list is applied; before, it failed in its four cases (the drain was never known).

--- a/flintridge/discovery/backup_calls.py
+++ b/flintridge/discovery/backup_calls.py
@@ -119,8 +119,7 @@
         assert task is not None
         del self._in_flight[task]
         client.close()
-        is_last = not self._in_flight or not isinstance(error, CALL_ERRORS)
-        if is_last and not self._ended.done():
+        if not self._in_flight and not self._ended.done():
             self._ended.set_exception(error)
 
     def _use(self, client: DiscoveryClient) -> None:
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -130,7 +130,7 @@
         caller = self._caller()
         try:
             await self._get_full_list(caller, self._report)
-        except CALL_ERRORS as error:
+        except Exception as error:
             if asyncio.current_task() is self._fetch_task:
                 self._report_failure(error)
         finally:
@@ -166,7 +166,7 @@
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
                     await sleep(self._clock, pause_ms)
-        except CALL_ERRORS as error:
+        except Exception as error:  # whatever it was, the watch must not end with it
             # Ignores the failure of a call that timed out just as the address changed: it does not matter any
             # more, and the policy would request a second watch.
             if asyncio.current_task() is self._watch_task:
@@ -227,6 +227,8 @@
 
     def _report_failure(self, error: Exception) -> None:
         self._counters.add("endpoint_list_failures")
+        if not isinstance(error, CALL_ERRORS):
+            self._log.error("endpoint_list_internal_error", error)
         self._freshness.record_failure()
         self._log.event(
             "endpoint_list_failed",
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -265,3 +265,29 @@
             await alone.node.close()
 
     play(test)
+
+
+@pytest.mark.parametrize("mode", list(api.DiscoveryMode))
+def test_watch_when_an_unexpected_error_occurs_then_calls_again(play, monkeypatch, mode):
+    """Guards against a watch that ends for good, with a list that gets ever older."""
+
+    async def test():
+        full_list = json_response(endpoint_list(7, s1="terminating", s2="in_service"))
+        async with ScriptedServer(lambda _: full_list) as discovery:
+            settings = api.Settings(discovery=mode)
+            alone = NodeHarness(discovery, endpoint_list(1, s1="in_service", s2="in_service"), settings)
+            apply_json = alone.node.endpoints.apply_json
+            errors = [RuntimeError("unexpected"), KeyError("unexpected")]
+
+            def failing(*arguments):
+                if errors:
+                    raise errors.pop()
+                return apply_json(*arguments)
+
+            monkeypatch.setattr(alone.node.endpoints, "apply_json", failing)
+            await alone.node.start()
+            await alone.advance_until(lambda: alone.state("s1") is EndpointState.DRAINING, 5_000)
+            assert not errors
+            await alone.node.close()
+
+    play(test)
