Accept a response of the old discovery that is on its way when the address changes

Cause: a SIGHUP with another address cancelled the call in flight. A response that discovery had written, which counts as told, was thrown away unread; the next list came seconds later. Evidence: told and written at 2956.59, the same instant as the SIGHUP; the new list at 2960.07; attempts from 2958.71 on.

The call in flight now ends once a newer list has come. No further call goes to the old address, and its response is applied only before a newer list.

--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from flintridge.api import EndpointUpdate, UpdateKind
 from flintridge.config.address import Address
@@ -19,6 +20,8 @@
 # How long a starting node tries to get a list before it uses the configured one. It sends several calls in
 # this time, so that failures of one or two do not suffice.
 FALLBACK_AFTER_MS = 1_500.0
+# Calls in flight to addresses that were used before, of which a response is still accepted.
+MAX_PREVIOUS_WATCHES = 3
 DEFAULT_CALL_TIMES = CallTimes()
 
 
@@ -57,7 +60,9 @@
         self._notify = notify
         self._log = log
         self._counters = counters
-        self._watch_task: asyncio.Task[None] | None = None
+        # By connection, the newest last: the watch, and calls in flight to addresses that were used before.
+        self._watches: dict[BackedUpCaller, asyncio.Task[None]] = {}
+        self._watch_caller: BackedUpCaller | None = None  # that of the watch, None if there is no watch
         self._fetch_task: asyncio.Task[None] | None = None
         # Changes since the known revision would mean nothing: the next call fetches the full list.
         self._needs_full_list = False
@@ -87,31 +92,43 @@
     def watch(self, on: bool) -> None:
         """Start the watch, or end it. A running watch is not started twice: that is a call too many."""
         self._is_started = True
-        running = self._watch_task is not None and not self._watch_task.done()
-        if on and not running:
-            self._watch_task = asyncio.ensure_future(self._watch())
-        elif not on and self._watch_task is not None:
-            self._watch_task.cancel()
+        if not on:
+            self._end_watches()
+        elif self._watch_caller is None:
+            self._start_watch()
 
     def change_address(self, discovery: Address) -> None:
         """Continue at another address, at once and from its full list.
 
-        Its revisions need not continue the old ones. Only calls to the old address are cancelled; what they
-        would have reported is in the new full list. Before the first watch, nothing is called: the configured
-        list, which is reported when the node starts, would replace a newer one.
+        Its revisions need not continue the old ones. No further calls are made to the old address. A response
+        of it that is on its way counts as notified, so the call in flight is ended only once there is a newer
+        list. Before the first watch, nothing is called: the configured list, which is reported when the node
+        starts, would replace a newer one.
         """
         self.discovery = discovery
         self._needs_full_list = True
         if not self._is_started:
             return
         fetching = self._fetch_task is not None and not self._fetch_task.done()
-        for task in (self._watch_task, self._fetch_task):
-            if task is not None:
-                task.cancel()
-        self._watch_task = asyncio.ensure_future(self._watch())
+        self._end_watches(keep=MAX_PREVIOUS_WATCHES)
+        self._start_watch()
         if fetching:
+            assert self._fetch_task is not None
+            self._fetch_task.cancel()
             self._fetch_task = asyncio.ensure_future(self._fetch())
 
+    def _start_watch(self) -> None:
+        caller = self._watch_caller = self._caller()
+        self._watches[caller] = asyncio.ensure_future(self._watch(caller))
+
+    def _end_watches(self, keep: int = 0) -> None:
+        """End all watches but the `keep` newest ones."""
+        callers = list(self._watches)
+        for caller in callers[: max(0, len(callers) - keep)]:
+            self._watches.pop(caller).cancel()
+        if not keep:
+            self._watch_caller = None
+
     def fetch(self) -> None:
         """Fetch the full list once. A running fetch is not repeated, as that would be a call too many."""
         if self._fetch_task is None or self._fetch_task.done():
@@ -121,7 +138,9 @@
         """Cancel all calls."""
         if self._fallback_timer is not None:
             self._fallback_timer.cancel()
-        tasks = [task for task in (self._watch_task, self._fetch_task) if task is not None]
+        tasks = list(self._watches.values())
+        if self._fetch_task is not None:
+            tasks.append(self._fetch_task)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -155,26 +174,35 @@
         else:
             await caller.get(self._times.confirmation(revision), accept)
 
-    async def _watch(self) -> None:
-        caller = self._caller()
+    async def _watch(self, caller: BackedUpCaller) -> None:
         try:
-            while True:
+            while caller is self._watch_caller:  # else the address has changed
                 started_at = self._clock.now()
                 get = self._get_full_list if self._needs_full_list else self._get_changes
-                await get(caller, self._report_unless_outdated)
+                await get(caller, partial(self._accept, caller))
                 # Limits the load on discovery if it answers each call at once.
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
                     await sleep(self._clock, pause_ms)
         except Exception as error:  # whatever it was, the watch must not end with it
-            # Ignores the failure of a call that timed out just as the address changed: it does not matter any
-            # more, and the policy would request a second watch.
-            if asyncio.current_task() is self._watch_task:
-                self._watch_task = None  # lets the policy start a watch again at once
+            # Ignores the failure of a call to an old address: it does not matter any more, and the policy
+            # would request a second watch.
+            if caller is self._watch_caller:
+                self._watch_caller = None  # lets the policy start a watch again at once
                 self._report_failure(error)
         finally:
+            self._watches.pop(caller, None)
             caller.close()
 
+    def _accept(self, caller: BackedUpCaller, response: DiscoveryResponse) -> None:
+        """Report a response, and end the calls that were sent before to other addresses."""
+        if caller is self._watch_caller:
+            self._report_unless_outdated(response)
+        else:
+            self._report(response)
+        callers = list(self._watches)
+        self._end_watches(keep=len(callers) - callers.index(caller))
+
     def _report_unless_outdated(self, response: DiscoveryResponse) -> None:
         """Report a response; if it is a change to another list than the known one, request the full list.
 
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -291,3 +291,40 @@
             await alone.node.close()
 
     play(test)
+
+
+@pytest.mark.parametrize("mode", list(api.DiscoveryMode))
+@pytest.mark.parametrize("moves", [1, 3])
+def test_reload_when_a_drain_is_written_as_it_arrives_then_the_drain_is_kept(mode, moves):
+    """The drain counts as notified, and the new address gives no response."""
+
+    async def test():
+        settings = api.Settings(discovery=mode)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        place = type("Place", (), {"port": listener.getsockname()[1]})
+        loop = asyncio.get_running_loop()
+        async with ScriptedServer(lambda _: b"") as silent, ScriptedServer(lambda _: b"") as other:
+            alone = NodeHarness(place, endpoint_list(1, s1="in_service"), settings)
+            await alone.node.start()
+            old, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(old, 4096)
+            old.send(json_response(endpoint_list(2, s1="terminating")))
+            addresses = [silent.port, other.port, silent.port][:moves]
+            for port in addresses:  # the event loop has not read the response yet
+                address = Address("127.0.0.1", port)
+                alone.node.reload(replace(alone.node.config, discovery=address))
+            await until(lambda: alone.state("s1") is EndpointState.DRAINING)
+            await until(lambda: silent.received)
+            assert b"GET /api/targets HTTP" in silent.received[0]
+            silent.writers[-1].write(json_response(endpoint_list(1, s1="in_service", s2="in_service")))
+            await until(lambda: alone.state("s2") is EndpointState.READY)
+            await alone.advance_until(lambda: len(silent.received) > 1, 1_000)
+            assert b"after=1&" in silent.received[-1]
+            with pytest.raises(BlockingIOError):
+                listener.accept()  # no further call to the old address
+            await alone.node.close()
+        old.close()
+        listener.close()
+
+    asyncio.run(test())
--- a/tests/support/drain_case.py
+++ b/tests/support/drain_case.py
@@ -113,3 +113,22 @@
         await case.until_known()
         await asyncio.sleep(settings.grace_s + SETTLED_S)
     return case.findings()
+
+
+async def drain_as_discovery_moves(folder: Path, settings: NodeSettings) -> list[str]:
+    """Let servers leave in the moment of a new configuration; its discovery does not answer the first call.
+
+    Returns:
+        What broke the rule on drains.
+    """
+    case = DrainCase(folder, settings)
+    async with case.serving():
+        await case.until_known()
+        await asyncio.sleep(SETTLED_S)
+        await case.until_next_call()
+        case.process.discoveries[1].call_faults.append("hang")
+        case.change_servers()
+        case.process.move_discovery()
+        await asyncio.sleep(settings.grace_s + SETTLED_S)
+        await case.until_known()
+    return case.findings()
