Limit the weights of the endpoint list, so that an odd one does not break the update of the others

A server listed with a size of 1e300 or inf made the policy raise OverflowError in the middle of an update: servers behind it in the list kept their old state at the hash ring, and later updates failed alike (policy_error in the log). Sizes above 1e9 now count as 1e9. Four of the twelve new cases failed before (1e300 and inf, first and between the others).

--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -20,6 +20,7 @@
 }
 UNKNOWN_KIND = -2  # a kind that the settings do not name; -1 stands for no kind at all
 UNKNOWN_ZONE = -1
+MAX_WEIGHT = 1e9  # sums of weights stay finite
 
 
 class EndpointNotListedError(FlintridgeError, OSError):
@@ -201,7 +202,7 @@
         endpoint = Endpoint(
             server=server,
             state=state,
-            weight=1.0 if size is None else float(size),
+            weight=1.0 if size is None else min(float(size), MAX_WEIGHT),
             cell=int(entry.get("cell") or 0),
             kind=kind,
             zone=self._zones.get(entry.get("locality", ""), UNKNOWN_ZONE),
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -161,3 +161,19 @@
     assert (server.connect_backoff.failures, server.inflight, server.cost) == (3, 2, 0.5)
     assert len(server.warm_up.sends) == 1 and server.warm_up.work == 1.0
     assert server.connect_backoff.until == 0
+
+
+@pytest.mark.parametrize("size", [1e300, "inf", 1e9, 0, -1, "nan"])
+@pytest.mark.parametrize("position", [0, 1])
+def test_drain_when_another_server_of_the_list_has_an_odd_weight_then_is_known_to_the_policy(size, position):
+    endpoints = EndpointList((), ("m2",), SETTINGS, ManualClock())
+    policy = Balancer(SETTINGS, seed=1)
+    entry = listed(flavor="m2")["members"][0]
+    both = [entry | {"id": "s-1"}, entry | {"id": "s-2"}]
+    policy.handle(1, endpoints.apply({"revision": 1, "complete": True, "members": both}))
+    changes = [entry | {"id": "s-1", "phase": "terminating"}, entry | {"id": "s-2"}]
+    changes.insert(position, entry | {"id": "s-odd", "size": size})
+    for revision in (2, 3):
+        list_of_all = {"revision": revision, "complete": revision == 3, "members": changes}
+        policy.handle(revision, endpoints.apply(list_of_all))
+        assert "s-1" not in policy.ready and "s-2" in policy.ready and "s-odd" in policy.ready
