Confirm the list after discovery ended the connection between two watch calls

Cause: the connection ended in the 100 ms between two calls, the drain followed, and the next call hung. Since no call had failed it was an ordinary watch, which counts as silent only after its wait and a second, and is not sent again. A connection that has ended is a broken watch like a failed call: the next call confirms the list, and is sent again without a response. A discovery that ends each connection is asked so every second time only.

The test (sockets and virtual time) failed before: waits of 20, 4000, 4000, 4000, 4000 ms; now 20, 20, 4000, 20, 4000.

--- a/flintridge/discovery/client.py
+++ b/flintridge/discovery/client.py
@@ -80,6 +80,17 @@
         self._clock = clock
         self._streams: _Streams | None = None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the connection has ended since the last response, or has unexpected input."""
+        if self._streams is None:
+            return False
+        reader = self._streams.reader
+        writer = self._streams.writer
+        # An old list that is still unread must not be taken for the next call's response: it would undo newer
+        # changes.
+        return not is_reusable(reader, writer) or has_pending_input(writer.transport)
+
     async def get(self, target: str) -> DiscoveryResponse:
         """Send a GET request and return discovery's response.
 
@@ -121,13 +132,8 @@
         return DiscoveryResponse(response.body, date_header_ms(response.head))
 
     async def _connection(self) -> _Streams:
-        if self._streams is not None:
-            reader = self._streams.reader
-            writer = self._streams.writer
-            # An old list that is still unread must not be taken for this call's response: it would undo newer
-            # changes.
-            if not is_reusable(reader, writer) or has_pending_input(writer.transport):
-                self.close()
+        if self.has_ended:
+            self.close()
         if self._streams is None:
             self._streams = await self._connect()
         return self._streams
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -68,6 +68,8 @@
         self._needs_full_list = False
         self._logged_correction_ms = 0.0  # correction of the wall clock that was last logged
         self._is_started = False
+        # Whether the last call confirmed the list because the connection had ended.
+        self._confirmed_after_end = False
         self._fallback: EndpointUpdate | None = None  # used only if discovery does not answer
         self._fallback_timer: Timer | None = None
         self._freshness = ListFreshness(clock)
@@ -166,10 +168,16 @@
         self._counters.observe("list_ms", self._freshness.call_ms)
 
     async def _get_changes(self, caller: BackedUpCaller, accept: Accept) -> None:
-        """Fetch the changes since the known revision, and wait for one if the list was confirmed before."""
+        """Fetch the changes since the known revision, and wait for one if the list was confirmed before.
+
+        A connection that has ended since the last response is a watch that broke, as is a call that failed. A
+        discovery that ends each connection is not called without waiting twice in a row.
+        """
+        has_broken = caller.client.has_ended and not self._confirmed_after_end
+        self._confirmed_after_end = has_broken
         self._freshness.record_call()
         revision = self._endpoints.revision
-        if self._freshness.is_confirmed:
+        if self._freshness.is_confirmed and not has_broken:
             await caller.get(self._times.watch(revision), accept)
         else:
             await caller.get(self._times.confirmation(revision), accept)
--- a/tests/discovery/test_watcher.py
+++ b/tests/discovery/test_watcher.py
@@ -196,6 +196,33 @@
     assert len(reads) <= most_reads
 
 
+def test_watch_when_discovery_ends_the_connection_between_two_calls_then_the_list_is_confirmed_first(play):
+    """Guards against a drain that is known late because the call after that gets no response."""
+
+    async def test():
+        clock, updates = ManualClock(), []
+        answer = response(200, orjson.dumps({"revision": 42, "complete": False, "members": []}))
+        answers = [answer] * 4 + [b""]
+        async with ScriptedServer(lambda _: answers.pop(0)) as peer:
+            endpoints = EndpointList((), (), SETTINGS, clock)
+            watcher = DiscoveryWatcher(
+                Address("127.0.0.1", peer.port), endpoints, clock, updates.append, *log_and_counters()
+            )
+            watcher.watch(True)
+            for calls in range(1, 5):
+                await until(lambda calls=calls: len(updates) == calls)
+                peer.writers[-1].close()
+                for _ in range(20):
+                    await asyncio.sleep(0.001)
+                clock.advance(150)
+                await until(lambda calls=calls: len(peer.received) == calls + 1)
+            waits_ms = [int(call.split(b"wait_ms=")[1].split()[0]) for call in peer.received]
+            assert waits_ms == [20, 20, 4_000, 20, 4_000]
+            await watcher.close()
+
+    play(test)
+
+
 DATES_MS = {
     b"Thu, 01 Jan 1970 00:00:05 GMT": 5_000.0,
     b"Thu, 01 Jan 1970 00:00:05 -0000": 5_000.0,
