--- a/review/rig_2/case.py
+++ b/review/rig_2/case.py
@@ -25,9 +25,10 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.add("case", f"{folder.name}, {'with' if has_trouble else 'without'} the disruption")
-    with tempfile.TemporaryDirectory(prefix="review-") as temporary:
+    with tempfile.TemporaryDirectory(prefix="review-", ignore_cleanup_errors=True) as temporary:
+        loop = asyncio.new_event_loop()
         try:
-            breaks = asyncio.run(_run(scenario, record, Path(temporary), has_trouble))
+            breaks = loop.run_until_complete(_run(scenario, record, Path(temporary), has_trouble))
             code = BROKEN if breaks else HELD
             for text in breaks:
                 record.add("broken", text)
@@ -40,7 +41,10 @@
     print({HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}[code])
     for text in breaks if code == BROKEN else ():
         print(text)
-    sys.exit(code)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Tasks of clients may still run. Cancelling them is not safe: `wait_for` can swallow a cancellation.
+    os._exit(code)
 
 
 async def _run(scenario: Scenario, record: Record, temporary: Path, has_trouble: bool) -> list[str]:
