Use the configured list only while no call to discovery is in flight

Cause: 1.5 s after the start, a timer reported the list of the configuration whatever the calls were doing. Three were in flight then, each with a limit of 3 s. A call without a response counted as evidence that discovery is away.

The configured list is now used 1.5 s after the start at the earliest, and only while no call is in flight: each has failed, or has had no response for its limit. That also holds for calls to an earlier address. The rule stands in a module of its own, StartupFallback.

Readiness: unchanged at 1.5 s where calls are refused, reset or answered 503; a discovery that accepts calls and never answers delays it from 1.5 to 4.5 s.

--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -11,15 +11,13 @@
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
 from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
 from flintridge.discovery.list_freshness import ListFreshness
-from flintridge.runtime.clock import Clock, Timer, sleep
+from flintridge.discovery.startup_fallback import StartupFallback
+from flintridge.runtime.clock import Clock, sleep
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
 # Shortest time between the starts of two watch calls. The next call must start within 200 ms of a response.
 WATCH_INTERVAL_MS = 100.0
-# How long a starting node tries to get a list before it uses the configured one. It sends several calls in
-# this time, so that failures of one or two do not suffice.
-FALLBACK_AFTER_MS = 1_500.0
 # Calls in flight to addresses that were used before, of which a response is still accepted.
 MAX_PREVIOUS_WATCHES = 3
 DEFAULT_CALL_TIMES = CallTimes()
@@ -70,24 +68,22 @@
         self._is_started = False
         # Whether the last call confirmed the list because the connection had ended.
         self._confirmed_after_end = False
-        self._fallback: EndpointUpdate | None = None  # used only if discovery does not answer
-        self._fallback_timer: Timer | None = None
+        self._fallback: StartupFallback | None = None
         self._freshness = ListFreshness(clock)
 
     @property
     def has_list(self) -> bool:
         """Whether a list has been reported; False while `watch_with_fallback` waits for the first one."""
-        return self._fallback is None
+        return self._fallback is None or not self._fallback.is_pending
 
     def watch_with_fallback(self, configured: EndpointUpdate) -> None:
-        """Watch, beginning with the full list; report `configured` only if discovery cannot be reached.
+        """Watch, beginning with the full list; report `configured` only if discovery is away.
 
-        For settings with pushed lists. A pushed list counts as notified from the first moment of a process,
-        so an outdated list could name servers whose drain ended long ago. While discovery is down nothing
-        counts as notified; a single failed call does not show that it is.
+        For settings with pushed lists; see `StartupFallback`.
         """
-        self._fallback = configured
-        self._fallback_timer = self._clock.call_at(self._clock.now() + FALLBACK_AFTER_MS, self._use_fallback)
+        self._fallback = StartupFallback(
+            configured, self._clock, self._log, self._notify, has_call_in_flight=lambda: bool(self._watches)
+        )
         self._needs_full_list = True
         self.watch(True)
 
@@ -138,8 +134,8 @@
 
     async def close(self) -> None:
         """Cancel all calls."""
-        if self._fallback_timer is not None:
-            self._fallback_timer.cancel()
+        if self._fallback is not None:
+            self._fallback.cancel()
         tasks = list(self._watches.values())
         if self._fetch_task is not None:
             tasks.append(self._fetch_task)
@@ -201,6 +197,8 @@
         finally:
             self._watches.pop(caller, None)
             caller.close()
+            if self._fallback is not None:
+                self._fallback.use_if_away()
 
     def _accept(self, caller: BackedUpCaller, response: DiscoveryResponse) -> None:
         """Report a response, and end the calls that were sent before to other addresses."""
@@ -235,7 +233,8 @@
             self._log.event(
                 "endpoint_list", kind=update.kind.value, revision=update.version, endpoints=states
             )
-        self._fallback = None
+        if self._fallback is not None:
+            self._fallback.cancel()
         self._notify(update)
 
     def _record_response(self) -> None:
@@ -276,11 +275,3 @@
             failures=self._freshness.failures,
         )
         self._notify(EndpointUpdate(UpdateKind.FAILED))
-
-    def _use_fallback(self) -> None:
-        fallback = self._fallback
-        if fallback is None:
-            return
-        self._fallback = None
-        self._log.event("configured_list_used", revision=fallback.version, members=len(fallback.endpoints))
-        self._notify(fallback)
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -17,7 +17,7 @@
 from flintridge.discovery import client as client_module
 from flintridge.discovery.call import LIST_TIMEOUT_MS
 from flintridge.discovery.client import LOCAL_FAILURE_PAUSE_MS, MAX_LOCAL_FAILURES, DiscoveryClient
-from flintridge.discovery.watcher import FALLBACK_AFTER_MS
+from flintridge.discovery.startup_fallback import FALLBACK_AFTER_MS
 from flintridge.lab import virtual
 from flintridge.runtime.clock import NS_PER_MS
 
--- a/tests/processes/test_drains_beside_discovery_faults.py
+++ b/tests/processes/test_drains_beside_discovery_faults.py
@@ -44,6 +44,15 @@
     assert asyncio.run(start_with_outdated_list(tmp_path, settings, (fault,))) == []
 
 
+@pytest.mark.parametrize("first_faults", [(), ("reset",), ("busy",)])
+def test_new_process_when_discovery_is_slow_does_not_use_servers_that_have_left(
+    tmp_path, monkeypatch, first_faults
+):
+    """Guards against the configured list while calls to discovery may still be answered (review case 10)."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(start_with_outdated_list(tmp_path, PUSHED, first_faults, delay_s=2.8)) == []
+
+
 def test_pushed_drain_when_the_watch_was_reset_and_the_next_call_hangs_is_kept(tmp_path, monkeypatch):
     monkeypatch.setenv("TMPDIR", str(tmp_path))
     assert asyncio.run(drain_beside_fault(tmp_path, PUSHED, reset_then_hang)) == []
--- a/tests/support/drain_case.py
+++ b/tests/support/drain_case.py
@@ -104,10 +104,22 @@
 
 
 async def start_with_outdated_list(
-    folder: Path, settings: NodeSettings, first_faults: tuple[str, ...]
+    folder: Path, settings: NodeSettings, first_faults: tuple[str, ...] = (), delay_s: float = 0.0
 ) -> list[str]:
-    """Start a process whose configured list names servers that have left; returns what broke the rule."""
+    """Start a process whose configured list names servers that have left.
+
+    Args:
+        folder: Has the files of the process.
+        settings: The settings of the process.
+        first_faults: The faults of its first calls to discovery.
+        delay_s: How long discovery takes for each call.
+
+    Returns:
+        What broke the rule on drains.
+    """
     case = DrainCase(folder, settings)
+    for discovery in case.process.discoveries:
+        discovery.delay_s = delay_s
     case.change_servers()
     async with case.serving(first_faults):
         await case.until_known()
--- a/tests/support/drain_discovery.py
+++ b/tests/support/drain_discovery.py
@@ -73,6 +73,7 @@
         port: The port that it listens on.
         calls: The number of calls that it has received.
         call_faults: The faults of the next calls, one each: "hang", "reset", "busy" or "slow".
+        delay_s: How long each call that is answered waits before it is handled.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self._rng = rng
         self._queue_s = queue_s
         self.call_faults: deque[str] = deque()
+        self.delay_s = 0.0
         self.port = 0
         self.calls = 0
         self._server: asyncio.Server | None = None
@@ -151,6 +153,7 @@
             self._told.fell_silent()
             await reader.read()  # until the node gives the call up
             return False
+        await asyncio.sleep(self.delay_s)
         after = re.search(r"after=(\d+)", call)
         if after is not None:
             wait = re.search(r"wait_ms=(\d+)", call)
