Accept the overdue responses of a slow discovery instead of dropping them

Callers saw requests at servers that drain or have left, without end, while discovery is up but takes more than 3 s for each call, or sends its responses in pieces. A node that starts meanwhile (pushed lists) took its configured list after 2.3 s and kept it.

At its limit it was cancelled, with the response on its way; the next call met the same slowness. The limits stay, because a silent connection must be replaced soon, but the replacement no longer ends the call: it stays in flight for 10 s beyond its wait, and the first response counts. A response ends the calls that were sent before it; one that was overtaken may not lower the revision. One overdue call at most is kept beside a new one. Overdue responses prove nothing about starts.

A stub in test_watch_termination takes the new arguments of apply_json; what it checks is unchanged.

--- a/flintridge/discovery/call.py
+++ b/flintridge/discovery/call.py
@@ -1,4 +1,8 @@
-"""The calls to discovery: what each requests, and how long it may take."""
+"""The calls to discovery: what each requests, and when its response is overdue.
+
+An overdue response is not lost: discovery may be slow. The node sends another call, and accepts whichever
+response comes first.
+"""
 
 from dataclasses import dataclass
 
@@ -13,14 +17,17 @@
 # Time for the first byte of a response to a watch call, beyond the time that the call may wait.
 WATCH_SILENCE_MS = 1_000.0
 RESPONSE_TIMEOUT_MS = 2_000.0  # time for a response, beyond the time that the call may wait
-LIST_TIMEOUT_MS = 3_000.0  # time limit of a call that does not wait
+LIST_TIMEOUT_MS = 3_000.0  # time for a response to a call that does not wait
+# How long an overdue response is still accepted, from the start of its call, beyond the time that the call
+# may wait.
+LATE_RESPONSE_MS = 10_000.0
 # Where lists are polled, many nodes call one service, and calls wait for their turn: a second call is not
 # sent early, and only for changes, which are short.
 POLLED_BACKUP_DELAY_MS = 1_500.0
 MAX_PUSHED_BACKUP_DELAY_MS = 500.0
 MIN_PUSHED_BACKUP_DELAY_MS = 50.0
-# Time without a further byte after which a response that has begun counts as broken. Where lists are pushed
-# it is the first backup delay.
+# Time without a further byte after which a response that has begun is overdue: its connection may have fallen
+# silent. Where lists are pushed it is the first backup delay.
 POLLED_STALL_MS = 1_000.0
 
 
@@ -30,11 +37,12 @@
 
     Attributes:
         target: The request target.
-        first_byte_ms: Time for the first byte of the response.
-        response_ms: Time for the whole response, not less.
-        stall_ms: Time for each next byte of a response that has begun.
+        first_byte_ms: Time after which a response that has not begun is overdue.
+        response_ms: Time after which a response that is not complete is overdue, not less.
+        stall_ms: Time without a further byte after which a response that has begun is overdue.
         backup_delays_ms: Times without a response, each counted from the last call, after which the call is
             sent again on another connection.
+        give_up_ms: Time after which an overdue response is not accepted any more.
     """
 
     target: str
@@ -42,6 +50,7 @@
     response_ms: float
     stall_ms: float = POLLED_STALL_MS
     backup_delays_ms: tuple[float, ...] = ()
+    give_up_ms: float = LATE_RESPONSE_MS
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,18 +93,20 @@
             first_byte_ms=self.watch_wait_ms + WATCH_SILENCE_MS,
             response_ms=self.watch_wait_ms + RESPONSE_TIMEOUT_MS,
             stall_ms=self.stall_ms,
+            give_up_ms=self.watch_wait_ms + LATE_RESPONSE_MS,
         )
 
     def confirmation(self, revision: int) -> DiscoveryCall:
         """A call for the changes since a revision that is answered also if there are none."""
         target = _changes_target(revision, CONFIRMATION_WAIT_MS)
-        delays_ms = self.confirmation_backup_delays_ms
-        return DiscoveryCall(target, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.stall_ms, delays_ms)
+        return self._call_without_wait(target, self.confirmation_backup_delays_ms)
 
     def full_list(self) -> DiscoveryCall:
         """A call for the full list."""
-        delays_ms = self.full_list_backup_delays_ms
-        return DiscoveryCall(LIST_PATH, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.stall_ms, delays_ms)
+        return self._call_without_wait(LIST_PATH, self.full_list_backup_delays_ms)
+
+    def _call_without_wait(self, target: str, backup_delays_ms: tuple[float, ...]) -> DiscoveryCall:
+        return DiscoveryCall(target, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.stall_ms, backup_delays_ms)
 
 
 def _changes_target(revision: int, wait_ms: float) -> str:
--- a/flintridge/discovery/client.py
+++ b/flintridge/discovery/client.py
@@ -1,6 +1,7 @@
 """Calls to discovery: GET requests on one connection, which is opened if there is none."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -8,7 +9,7 @@
 from flintridge.codec.http.date import parse_date_ms
 from flintridge.codec.http.exchange import HttpExchange, header_value
 from flintridge.config.address import Address
-from flintridge.runtime.clock import Clock, sleep, with_timeout
+from flintridge.runtime.clock import Clock, sleep
 from flintridge.runtime.local_failure import is_local_failure
 from flintridge.runtime.streams import (
     TrackingReader,
@@ -21,7 +22,6 @@
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
 HTTP_OK = 200
-LONGEST_STALL_MS = 60_000.0
 
 # Pause before another connect attempt when this machine has no port, buffer, descriptor or route at present.
 # The policy's pause after a failed call is up to 2 s, and grows. A few of these in a row would last longer
@@ -51,21 +51,6 @@
     writer: asyncio.StreamWriter
 
 
-@dataclass(slots=True, frozen=True)
-class BegunResponse:
-    """A response of which the first bytes have arrived.
-
-    Attributes:
-        exchange: The request and the response so far, without `first_bytes`.
-        streams: The connection.
-        first_bytes: The first bytes of the response; empty if the connection ended instead.
-    """
-
-    exchange: HttpExchange
-    streams: _Streams
-    first_bytes: bytes
-
-
 def date_header_ms(head: h11.Response) -> float | None:
     """Unix time of a response's `Date` header in milliseconds; None if the header is missing or invalid."""
     value = header_value(head, b"date")
@@ -92,49 +77,32 @@
         # changes.
         return not is_reusable(reader, writer) or has_pending_input(writer.transport)
 
-    async def get(self, target: str) -> DiscoveryResponse:
+    async def get(self, target: str, on_progress: Callable[[], None] | None = None) -> DiscoveryResponse:
         """Send a GET request and return discovery's response.
 
+        Args:
+            target: The request target.
+            on_progress: Called whenever bytes of the response have arrived.
+
         Raises:
             OSError: The connection could not be opened, or it ended.
             ValueError: Discovery answered with another status than 200.
             h11.RemoteProtocolError: The response is not valid HTTP.
         """
-        return await self.receive(await self.begin(target))
-
-    async def begin(self, target: str) -> BegunResponse:
-        """Send a GET request and wait for the first bytes of the response.
-
-        Raises:
-            OSError: The connection could not be opened, or it failed.
-        """
         streams = await self._connection()
         host = f"{self._address.host}:{self._address.port}".encode()
         exchange = HttpExchange(b"GET", target.encode(), [(b"Host", host)], max_body_bytes=MAX_LIST_BYTES)
         streams.writer.writelines(exchange.encode_request())
         await streams.writer.drain()
-        return BegunResponse(exchange, streams, await streams.reader.read(READ_BYTES))
-
-    async def receive(self, begun: BegunResponse, stall_ms: float = LONGEST_STALL_MS) -> DiscoveryResponse:
-        """Receive the rest of a response.
-
-        Args:
-            begun: The response so far.
-            stall_ms: Time for each next byte.
-
-        Raises:
-            DeadlineExceededError: No further byte arrived in time.
-            OSError, ValueError, h11.RemoteProtocolError: See `get`.
-        """
-        exchange = begun.exchange
-        data = begun.first_bytes
         while True:
+            data = await streams.reader.read(READ_BYTES)
             response = exchange.feed(data)
             if response is not None:
                 break
             if not data:
                 raise ConnectionResetError("discovery closed the connection")
-            data = await with_timeout(self._clock, stall_ms, begun.streams.reader.read(READ_BYTES))
+            if on_progress is not None:
+                on_progress()
         if not exchange.reusable:
             self.close()
         if response.head.status_code != HTTP_OK:
--- a/flintridge/discovery/endpoint_list.py
+++ b/flintridge/discovery/endpoint_list.py
@@ -35,6 +35,10 @@
     """A change has a lower revision than the list that it should change: it belongs to another list."""
 
 
+class OvertakenListError(FlintridgeError, ValueError):
+    """The list, or the change, is older than the one that was applied after it was requested."""
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointAddress:
     """The address of a server, and whether the server is the origin."""
@@ -107,24 +111,44 @@
         """Whether a server is listed and in service."""
         return server in self._ready
 
-    def apply_json(self, text: bytes, date_ms: float | None = None) -> EndpointUpdate:
+    def apply_json(
+        self,
+        text: bytes,
+        date_ms: float | None = None,
+        *,
+        is_overtaken: bool = False,
+        requested_at: float | None = None,
+    ) -> EndpointUpdate:
         """Parse and apply discovery's JSON.
 
         Args:
             text: The JSON text, which arrived just now.
             date_ms: Unix time of the response's `Date` header in milliseconds, if it has one.
+            is_overtaken: Whether another response of the same discovery was applied after this one was
+                requested; a lower revision is an older state then, and not that of another list.
+            requested_at: When an overdue response was requested (ms of the clock), as it may show the state
+                of that instant; None for other responses.
 
         Raises:
             MalformedListError: The list cannot be parsed, or is a change to another list; nothing is changed.
+            OvertakenListError: The response is older than the one that overtook it; nothing is changed.
         """
         try:
             listed = orjson.loads(text)
         except orjson.JSONDecodeError as error:
             raise MalformedListError(f"the list is not JSON: {error}") from error
-        return self.apply(listed, date_ms=date_ms)
+        if is_overtaken and isinstance(listed, dict):
+            revision = listed.get("revision")
+            if isinstance(revision, int) and revision < self.revision:
+                raise OvertakenListError(f"revision {revision} came after revision {self.revision}")
+        return self.apply(listed, date_ms=date_ms, requested_at=requested_at)
 
     def apply(
-        self, listed: Any, kind: UpdateKind | None = None, date_ms: float | None = None
+        self,
+        listed: Any,
+        kind: UpdateKind | None = None,
+        date_ms: float | None = None,
+        requested_at: float | None = None,
     ) -> EndpointUpdate:
         """Apply a list or a change to it, in discovery's format.
 
@@ -132,6 +156,7 @@
             listed: Discovery's JSON, decoded.
             kind: Kind of the returned update; None: full or delta, as the list states.
             date_ms: Unix time of the response's `Date` header in milliseconds, if it has one.
+            requested_at: See `apply_json`.
 
         Returns:
             The servers that the list names, and those whose starts are corrected by what it reports.
@@ -155,7 +180,8 @@
             # Keeps the map from growing over a long time with ever new IDs. An attempt in flight has its
             # connection already, and the policy sends no more attempts to a server that is not listed.
             self._addresses.clear()
-        arrival = ListArrival(self._clock.now(), complete, kind is not UpdateKind.CACHED, date_ms)
+        is_live = kind is not UpdateKind.CACHED
+        arrival = ListArrival(self._clock.now(), complete, is_live, date_ms, requested_at)
         starts_changed = self.starts.record_list(arrival, map(_reported_start, entries))
         endpoints = [self._apply_entry(entry) for entry in entries]
         if starts_changed:
--- a/flintridge/discovery/server_starts.py
+++ b/flintridge/discovery/server_starts.py
@@ -25,7 +25,8 @@
 CLOCK_SKEW_MS = 250.0
 # A response's `Date` has whole seconds and was written a while before the response arrived.
 DATE_TOLERANCE_MS = 2_000.0
-MAX_DATE_AGE_MS = 7_000.0  # a call takes 6 s at most, and `Date` omits fractions of a second
+# A response that is not overdue takes 6 s at most, and `Date` omits fractions of a second.
+MAX_DATE_AGE_MS = 7_000.0
 # Larger corrections are ignored, so that one server's invalid start, such as one in nanoseconds or of years
 # ago, does not shift the starts of all servers.
 MAX_CORRECTION_MS = 86_400_000.0
@@ -64,12 +65,15 @@
         complete: Whether servers that the list does not name have left.
         live: Whether the list is discovery's response; else it is from the configuration, maybe outdated.
         date_ms: Unix time of the response's `Date` header in milliseconds, if it has one.
+        requested_at: When an overdue response was requested; None for other responses. What it reports, and
+            its `Date`, may be as old as that.
     """
 
     at: float
     complete: bool
     live: bool = True
     date_ms: float | None = None
+    requested_at: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,7 +119,7 @@
             Whether the correction has changed, and with it the starts of other servers too.
         """
         before = self.correction_ms
-        if arrival.date_ms is not None:
+        if arrival.date_ms is not None and arrival.requested_at is None:
             self._apply_date(arrival.at, arrival.date_ms)
         previous = self._listed
         if arrival.complete:
@@ -128,7 +132,8 @@
         if self._date_correction is None:
             self._apply_new_starts([known for known in new_starts if known is not None])
         if arrival.live:
-            self._last_response_at = arrival.at
+            reported_at = arrival.at if arrival.requested_at is None else arrival.requested_at
+            self._last_response_at = max(self._last_response_at, reported_at)
         return self.correction_ms != before
 
     def started_at(self, server: str) -> int:
--- a/flintridge/discovery/startup_fallback.py
+++ b/flintridge/discovery/startup_fallback.py
@@ -14,13 +14,16 @@
 # How long a starting node calls discovery at least before it uses the configured list. It sends several calls
 # in this time, so that failures of one or two do not suffice.
 FALLBACK_AFTER_MS = 1_500.0
+# How long a starting node waits for responses that have begun: nine of ten restarted nodes have to be ready
+# within 10 s.
+MAX_FALLBACK_WAIT_MS = 8_000.0
 
 
 class StartupFallback:
     """Holds the configured list until discovery has answered, or is away.
 
-    Discovery counts as away if it has answered no call for `FALLBACK_AFTER_MS`, and none is in flight: each
-    one has failed or has been without a response for its time limit.
+    Discovery counts as away if it has answered no call for `FALLBACK_AFTER_MS`, and no response is expected:
+    each call has failed, or its response is overdue and has not begun.
     """
 
     def __init__(
@@ -29,7 +32,7 @@
         clock: Clock,
         log: EventLog,
         notify: Callable[[EndpointUpdate], None],
-        has_call_in_flight: Callable[[], bool],
+        expects_response: Callable[[], bool],
     ) -> None:
         """Start waiting for discovery.
 
@@ -38,15 +41,18 @@
             clock: The node's clock.
             log: The node's log.
             notify: Called with the configured list if it is to be used.
-            has_call_in_flight: Returns whether any call to discovery may still be answered.
+            expects_response: Returns whether any call to discovery may soon be answered.
         """
         self._configured: EndpointUpdate | None = configured
         self._clock = clock
         self._log = log
         self._notify = notify
-        self._has_call_in_flight = has_call_in_flight
+        self._expects_response = expects_response
         self._started_at = clock.now()
-        self._timer: Timer = clock.call_at(self._started_at + FALLBACK_AFTER_MS, self.use_if_away)
+        self._timers: list[Timer] = [
+            clock.call_at(self._started_at + wait_ms, self.use_if_away)
+            for wait_ms in (FALLBACK_AFTER_MS, MAX_FALLBACK_WAIT_MS)
+        ]
 
     @property
     def is_pending(self) -> bool:
@@ -56,13 +62,16 @@
     def cancel(self) -> None:
         """Discard the configured list: discovery has answered, or the node ends."""
         self._configured = None
-        self._timer.cancel()
+        for timer in self._timers:
+            timer.cancel()
 
     def use_if_away(self) -> None:
-        """Use the configured list if discovery is away; to be called whenever a call has ended."""
+        """Use the configured list if discovery is away; to be called when a call has failed or is overdue."""
         configured = self._configured
         waited_ms = self._clock.now() - self._started_at
-        if configured is None or waited_ms < FALLBACK_AFTER_MS or self._has_call_in_flight():
+        if configured is None or waited_ms < FALLBACK_AFTER_MS:
+            return
+        if waited_ms < MAX_FALLBACK_WAIT_MS and self._expects_response():
             return
         self.cancel()
         self._log.event(
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -2,17 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from flintridge.api import EndpointUpdate, UpdateKind
 from flintridge.config.address import Address
-from flintridge.discovery.backup_calls import CALL_ERRORS, Accept, BackedUpCaller
-from flintridge.discovery.call import CallTimes
+from flintridge.discovery.backup_calls import CALL_ERRORS, BackedUpCaller
+from flintridge.discovery.call import LIST_PATH, CallTimes, DiscoveryCall
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
-from flintridge.discovery.endpoint_list import EndpointList, RevisionWentBackError
+from flintridge.discovery.endpoint_list import EndpointList, OvertakenListError, RevisionWentBackError
 from flintridge.discovery.list_freshness import ListFreshness
 from flintridge.discovery.startup_fallback import StartupFallback
-from flintridge.runtime.clock import Clock, sleep
+from flintridge.runtime.clock import Clock, DeadlineExceededError, sleep
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
@@ -23,6 +24,23 @@
 DEFAULT_CALL_TIMES = CallTimes()
 
 
+@dataclass(slots=True)
+class _Watch:
+    """A watch on discovery, or what is left of one: a call in flight whose response is still accepted.
+
+    Attributes:
+        address: The address of its calls.
+        task: Makes the calls.
+        called_at: When its call in flight was sent.
+        is_overtaken: Whether a response to another call was accepted after its call in flight was sent.
+    """
+
+    address: Address
+    task: asyncio.Task[None]
+    called_at: float
+    is_overtaken: bool = False
+
+
 class DiscoveryWatcher:
     """Polls discovery. The failure of a call is reported to the policy, which decides when to poll again.
 
@@ -58,8 +76,9 @@
         self._notify = notify
         self._log = log
         self._counters = counters
-        # By connection, the newest last: the watch, and calls in flight to addresses that were used before.
-        self._watches: dict[BackedUpCaller, asyncio.Task[None]] = {}
+        # By connection, the newest last: the watch, a call whose response is overdue, and calls in flight to
+        # addresses that were used before.
+        self._watches: dict[BackedUpCaller, _Watch] = {}
         self._watch_caller: BackedUpCaller | None = None  # that of the watch, None if there is no watch
         self._fetch_task: asyncio.Task[None] | None = None
         # Changes since the known revision would mean nothing: the next call fetches the full list.
@@ -82,7 +101,7 @@
         For settings with pushed lists; see `StartupFallback`.
         """
         self._fallback = StartupFallback(
-            configured, self._clock, self._log, self._notify, has_call_in_flight=lambda: bool(self._watches)
+            configured, self._clock, self._log, self._notify, self._expects_response
         )
         self._needs_full_list = True
         self.watch(True)
@@ -117,13 +136,18 @@
 
     def _start_watch(self) -> None:
         caller = self._watch_caller = self._caller()
-        self._watches[caller] = asyncio.ensure_future(self._watch(caller))
+        task = asyncio.ensure_future(self._watch(caller))
+        self._watches[caller] = _Watch(self.discovery, task, self._clock.now())
+
+    def _expects_response(self) -> bool:
+        """Whether any call may soon be answered: it is not overdue, or its response has begun."""
+        return any(not caller.is_overdue or caller.is_receiving for caller in self._watches)
 
     def _end_watches(self, keep: int = 0) -> None:
         """End all watches but the `keep` newest ones."""
         callers = list(self._watches)
         for caller in callers[: max(0, len(callers) - keep)]:
-            self._watches.pop(caller).cancel()
+            self._watches.pop(caller).task.cancel()
         if not keep:
             self._watch_caller = None
 
@@ -136,7 +160,7 @@
         """Cancel all calls."""
         if self._fallback is not None:
             self._fallback.cancel()
-        tasks = list(self._watches.values())
+        tasks = [watch.task for watch in self._watches.values()]
         if self._fetch_task is not None:
             tasks.append(self._fetch_task)
         for task in tasks:
@@ -146,7 +170,9 @@
     async def _fetch(self) -> None:
         caller = self._caller()
         try:
-            await self._get_full_list(caller, self._report)
+            self._freshness.record_call()
+            await caller.get(self._times.full_list(), self._report)
+            self._counters.observe("list_ms", self._freshness.call_ms)
         except Exception as error:
             if asyncio.current_task() is self._fetch_task:
                 self._report_failure(error)
@@ -157,33 +183,35 @@
         address = self.discovery
         return BackedUpCaller(lambda: DiscoveryClient(address, self._clock), self._clock, self._counters)
 
-    async def _get_full_list(self, caller: BackedUpCaller, accept: Accept) -> None:
-        """Fetch the full list, for which discovery need not wait, and record how long that took."""
-        self._freshness.record_call()
-        await caller.get(self._times.full_list(), accept)
-        self._counters.observe("list_ms", self._freshness.call_ms)
-
-    async def _get_changes(self, caller: BackedUpCaller, accept: Accept) -> None:
-        """Fetch the changes since the known revision, and wait for one if the list was confirmed before.
+    def _next_call(self, caller: BackedUpCaller) -> DiscoveryCall:
+        """The next call of the watch.
 
-        A connection that has ended since the last response is a watch that broke, as is a call that failed. A
-        discovery that ends each connection is not called without waiting twice in a row.
+        It fetches the full list if that is needed, else the changes since the known revision. It waits for a
+        change if the list was confirmed before. A connection that has ended since the last response is a
+        watch that broke, as is a call that failed. A discovery that ends each connection is not called
+        without waiting twice in a row.
         """
+        if self._needs_full_list:
+            return self._times.full_list()
         has_broken = caller.client.has_ended and not self._confirmed_after_end
         self._confirmed_after_end = has_broken
-        self._freshness.record_call()
         revision = self._endpoints.revision
         if self._freshness.is_confirmed and not has_broken:
-            await caller.get(self._times.watch(revision), accept)
-        else:
-            await caller.get(self._times.confirmation(revision), accept)
+            return self._times.watch(revision)
+        return self._times.confirmation(revision)
 
     async def _watch(self, caller: BackedUpCaller) -> None:
         try:
             while caller is self._watch_caller:  # else the address has changed
                 started_at = self._clock.now()
-                get = self._get_full_list if self._needs_full_list else self._get_changes
-                await get(caller, partial(self._accept, caller))
+                call = self._next_call(caller)
+                watch = self._watches[caller]
+                watch.called_at = started_at
+                watch.is_overtaken = False
+                self._freshness.record_call()
+                await caller.get(call, partial(self._accept, caller), partial(self._continue_without, caller))
+                if call.target == LIST_PATH:
+                    self._counters.observe("list_ms", self._clock.now() - started_at)
                 # Limits the load on discovery if it answers each call at once.
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
@@ -197,34 +225,79 @@
         finally:
             self._watches.pop(caller, None)
             caller.close()
-            if self._fallback is not None:
-                self._fallback.use_if_away()
+            self._use_fallback_if_away()
+
+    def _use_fallback_if_away(self) -> None:
+        if self._fallback is not None:
+            self._fallback.use_if_away()
+
+    def _continue_without(self, caller: BackedUpCaller) -> None:
+        """Let the policy start another watch, because the response to this one's call is overdue.
+
+        Discovery may be slow, so the response is still accepted, unless another one is overdue too: of those
+        calls, the oldest one is answered first.
+        """
+        if caller is not self._watch_caller:
+            return
+        if any(other is not caller and self._is_late(other) for other in self._watches):
+            self._watches.pop(caller).task.cancel()
+        self._watch_caller = None
+        self._report_failure(DeadlineExceededError())
+        self._use_fallback_if_away()
+
+    def _is_late(self, caller: BackedUpCaller) -> bool:
+        """Whether a response of the current discovery is overdue."""
+        return caller.is_overdue and self._watches[caller].address == self.discovery
 
     def _accept(self, caller: BackedUpCaller, response: DiscoveryResponse) -> None:
-        """Report a response, and end the calls that were sent before to other addresses."""
-        if caller is self._watch_caller:
-            self._report_unless_outdated(response)
-        else:
-            self._report(response)
+        """Report a response, and end the calls that were sent before it."""
+        watch = self._watches[caller]
+        requested_at = watch.called_at if caller.has_overdue_response else None
+        if watch.address != self.discovery:
+            self._report(response, requested_at)
+        elif not self._report_unless_outdated(response, requested_at, watch.is_overtaken):
+            return
         callers = list(self._watches)
         self._end_watches(keep=len(callers) - callers.index(caller))
+        for other in self._watches.values():
+            other.is_overtaken = other is not watch and other.address == watch.address
+        if self._watch_caller is None and watch.address == self.discovery:
+            self._watch_caller = caller  # goes on with the watch; the policy was to start another one
+
+    def _report_unless_outdated(
+        self, response: DiscoveryResponse, requested_at: float | None, is_overtaken: bool
+    ) -> bool:
+        """Report a response, unless a newer one has overtaken it.
 
-    def _report_unless_outdated(self, response: DiscoveryResponse) -> None:
-        """Report a response; if it is a change to another list than the known one, request the full list.
+        If it is a change to another list than the known one, the full list is requested: a discovery service
+        that was replaced by a new process at the same address begins its revisions anew.
 
-        A discovery service that was replaced by a new process at the same address begins its revisions anew.
+        Returns:
+            Whether the response is that of the current list.
         """
         try:
-            self._report(response)
+            update = self._report(response, requested_at, is_overtaken)
+        except OvertakenListError:
+            self._counters.add("endpoint_list_overtaken")
+            return False
         except RevisionWentBackError as error:
             self._counters.add("endpoint_list_revision_went_back")
             self._log.event("endpoint_list_replaced", error=str(error))
             self._needs_full_list = True
         else:
-            self._needs_full_list = False
+            if update.kind is UpdateKind.FULL:
+                self._needs_full_list = False
+        return True
 
-    def _report(self, response: DiscoveryResponse) -> None:
-        update = self._endpoints.apply_json(response.body, response.date_ms)
+    def _report(
+        self,
+        response: DiscoveryResponse,
+        requested_at: float | None = None,
+        is_overtaken: bool = False,
+    ) -> EndpointUpdate:
+        update = self._endpoints.apply_json(
+            response.body, response.date_ms, is_overtaken=is_overtaken, requested_at=requested_at
+        )
         self._log_correction()
         self._counters.add("endpoint_list_updates")
         self._record_response()
@@ -236,6 +309,7 @@
         if self._fallback is not None:
             self._fallback.cancel()
         self._notify(update)
+        return update
 
     def _record_response(self) -> None:
         if self._freshness.failures:
--- a/tests/discovery/test_startup_fallback.py
+++ b/tests/discovery/test_startup_fallback.py
@@ -17,7 +17,7 @@
 from flintridge.config.address import Address
 from flintridge.config.node_config import NodeConfig
 from flintridge.discovery.call import LIST_TIMEOUT_MS
-from flintridge.discovery.startup_fallback import FALLBACK_AFTER_MS
+from flintridge.discovery.startup_fallback import FALLBACK_AFTER_MS, MAX_FALLBACK_WAIT_MS
 from flintridge.lab import virtual
 from flintridge.node import Node
 from flintridge.runtime.clock import NS_PER_MS, SystemClock
@@ -77,6 +77,20 @@
     return answer
 
 
+def in_pieces(pauses_s: tuple[float, ...]) -> Answer:
+    """Answer each call in equal pieces with pauses between them."""
+
+    async def answer(_: int, writer: asyncio.StreamWriter) -> bool:
+        size = len(CURRENT) // (len(pauses_s) + 1) + 1
+        writer.write(CURRENT[:size])
+        for number, pause_s in enumerate(pauses_s, 1):
+            await asyncio.sleep(pause_s)
+            writer.write(CURRENT[number * size : (number + 1) * size])
+        return True
+
+    return answer
+
+
 def failing_first(failure: bytes | None, then: Answer, failures: int = 1) -> Answer:
     """Fail the first calls, with a response or (None) a reset, and answer the others through `then`."""
 
@@ -145,6 +159,29 @@
     assert late_s <= ready_s < late_s + 0.05
 
 
+@pytest.mark.parametrize("late_s", [3.5, 4.4])
+def test_start_when_answers_are_later_than_the_time_for_one_then_waits_while_a_backup_is_due(late_s):
+    """Guards against an answer that is not accepted because it is overdue."""
+    state, ready_s = first_list(late(late_s))
+    assert state is EndpointState.DRAINING
+    assert late_s <= ready_s < late_s + 0.05
+
+
+@pytest.mark.parametrize("pauses_s", [(0.8,), (2.5,), (0.7, 0.7, 0.7), (1.0,) * 5])
+def test_start_when_answers_come_in_pieces_then_waits_for_the_rest(pauses_s):
+    """Guards against a list that is dropped for a pause within it, again at each call."""
+    state, ready_s = first_list(in_pieces(pauses_s))
+    assert state is EndpointState.DRAINING
+    assert ready_s < sum(pauses_s) + 0.05
+
+
+def test_start_when_answers_begin_and_never_end_then_is_ready_in_time():
+    """Responses that stop in the middle must not keep a node from serving."""
+    state, ready_s = first_list(in_pieces((3_600.0,)))
+    assert state is EndpointState.READY
+    assert ready_s * 1_000 <= MAX_FALLBACK_WAIT_MS + 50
+
+
 @pytest.mark.parametrize("failures", [1, 2, 3])
 @pytest.mark.parametrize("failure", [None, BUSY], ids=["reset", "busy"])
 def test_start_when_calls_fail_and_the_next_answer_is_late_then_waits_for_it(failure, failures):
--- a/tests/discovery/test_watch_termination.py
+++ b/tests/discovery/test_watch_termination.py
@@ -279,10 +279,10 @@
             apply_json = alone.node.endpoints.apply_json
             errors = [RuntimeError("unexpected"), KeyError("unexpected")]
 
-            def failing(*arguments):
+            def failing(*arguments, **options):
                 if errors:
                     raise errors.pop()
-                return apply_json(*arguments)
+                return apply_json(*arguments, **options)
 
             monkeypatch.setattr(alone.node.endpoints, "apply_json", failing)
             await alone.node.start()
--- a/tests/processes/test_drains_beside_discovery_faults.py
+++ b/tests/processes/test_drains_beside_discovery_faults.py
@@ -3,7 +3,12 @@
 import asyncio
 
 import pytest
-from support.drain_case import drain_as_discovery_moves, drain_beside_fault, start_with_outdated_list
+from support.drain_case import (
+    drain_as_discovery_moves,
+    drain_beside_fault,
+    drain_while_discovery_is_slow,
+    start_with_outdated_list,
+)
 from support.drain_node import NodeProcess, NodeSettings
 
 PUSHED = NodeSettings(is_pushed=True)
@@ -70,6 +75,12 @@
     assert asyncio.run(drain_beside_fault(tmp_path, settings, silent_then_hang)) == []
 
 
+def test_drain_when_discovery_is_slow_is_kept(tmp_path, monkeypatch):
+    """Guards against overdue responses that are dropped: the node never learned of the drain."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert asyncio.run(drain_while_discovery_is_slow(tmp_path, POLLED, delay_s=4.5)) == []
+
+
 def test_drain_when_it_is_written_as_discovery_moves_and_the_new_one_hangs_is_kept(tmp_path, monkeypatch):
     monkeypatch.setenv("TMPDIR", str(tmp_path))
     assert asyncio.run(drain_as_discovery_moves(tmp_path, POLLED)) == []
--- a/tests/support/drain_case.py
+++ b/tests/support/drain_case.py
@@ -103,6 +103,20 @@
     return case.findings()
 
 
+async def drain_while_discovery_is_slow(folder: Path, settings: NodeSettings, delay_s: float) -> list[str]:
+    """Let servers leave while discovery takes `delay_s` for each call; returns what broke the rule."""
+    case = DrainCase(folder, settings)
+    async with case.serving():
+        await case.until_known()
+        await asyncio.sleep(SETTLED_S)
+        case.process.discovery.delay_s = delay_s
+        for _ in range(2):  # the first of these calls replaces one that discovery answers as before
+            await case.until_next_call()
+        case.change_servers()
+        await case.until_known()
+    return case.findings()
+
+
 async def start_with_outdated_list(
     folder: Path, settings: NodeSettings, first_faults: tuple[str, ...] = (), delay_s: float = 0.0
 ) -> list[str]:
