Call a slow discovery less: no backups behind a slow call, and more time for the next

Callers saw requests at servers that drain or have left, without end, while discovery serves one call after another and needs 2.5 s or more for each (pushed lists), or 3 s (asked for).

Cause: backups, and a new call for each overdue response, are meant for broken connections. A discovery that serves one call at a time has to work through all of them, also those that the node has left. At 2.5 s a call a node sent 37.5 calls a minute to a service that answers 24; the queue grew until no response came within the time for which one is accepted.

The node now keeps the time that the last response took beyond its call's wait. Backups that would be sent within that time are not, and a response is overdue after twice that time, up to 5 s in all, so that a silent watch is still replaced within the 6 s after which a change counts as notified. Another address starts without such a time.

--- a/flintridge/discovery/call.py
+++ b/flintridge/discovery/call.py
@@ -4,7 +4,7 @@
 response comes first.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from flintridge.api import DiscoveryMode, Settings
 from flintridge.runtime.clock import to_ms
@@ -21,6 +21,11 @@
 # How long an overdue response is still accepted, from the start of its call, beyond the time that the call
 # may wait.
 LATE_RESPONSE_MS = 10_000.0
+# Where discovery was slow for its last response, the next one is awaited for twice that time, within limits:
+# a silent call is to be detected within the 6 s after which the changes that it misses count as notified.
+RESPONSE_TIME_FACTOR = 2.0
+MAX_EXPECTED_RESPONSE_MS = 5_000.0
+MAX_EXPECTED_BEYOND_WAIT_MS = 3_000.0
 # Where lists are polled, many nodes call one service, and calls wait for their turn: a second call is not
 # sent early, and only for changes, which are short.
 POLLED_BACKUP_DELAY_MS = 1_500.0
@@ -37,6 +42,7 @@
 
     Attributes:
         target: The request target.
+        wait_ms: How long discovery may wait for a change before it answers.
         first_byte_ms: Time after which a response that has not begun is overdue.
         response_ms: Time after which a response that is not complete is overdue, not less.
         stall_ms: Time without a further byte after which a response that has begun is overdue.
@@ -48,10 +54,30 @@
     target: str
     first_byte_ms: float
     response_ms: float
+    wait_ms: float = 0.0
     stall_ms: float = POLLED_STALL_MS
     backup_delays_ms: tuple[float, ...] = ()
     give_up_ms: float = LATE_RESPONSE_MS
 
+    def adapted_to(self, service_ms: float) -> "DiscoveryCall":
+        """Return the call to a discovery that may be slow.
+
+        Calls beyond one at a time make a discovery slower that serves one after another, also if their
+        callers have left. So backups are sent only if they are not expected to wait like the first call.
+
+        Args:
+            service_ms: How long discovery took for its last response, beyond the time that its call waited.
+        """
+        longest_ms = max(MAX_EXPECTED_RESPONSE_MS, self.wait_ms + MAX_EXPECTED_BEYOND_WAIT_MS)
+        expected_ms = min(self.wait_ms + RESPONSE_TIME_FACTOR * service_ms, longest_ms)
+        expects_backups = any(service_ms < delay_ms for delay_ms in self.backup_delays_ms[:1])
+        return replace(
+            self,
+            first_byte_ms=max(self.first_byte_ms, expected_ms),
+            response_ms=max(self.response_ms, expected_ms),
+            backup_delays_ms=self.backup_delays_ms if expects_backups else (),
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class CallTimes:
@@ -92,6 +118,7 @@
             _changes_target(revision, self.watch_wait_ms),
             first_byte_ms=self.watch_wait_ms + WATCH_SILENCE_MS,
             response_ms=self.watch_wait_ms + RESPONSE_TIMEOUT_MS,
+            wait_ms=self.watch_wait_ms,
             stall_ms=self.stall_ms,
             give_up_ms=self.watch_wait_ms + LATE_RESPONSE_MS,
         )
@@ -106,7 +133,13 @@
         return self._call_without_wait(LIST_PATH, self.full_list_backup_delays_ms)
 
     def _call_without_wait(self, target: str, backup_delays_ms: tuple[float, ...]) -> DiscoveryCall:
-        return DiscoveryCall(target, LIST_TIMEOUT_MS, LIST_TIMEOUT_MS, self.stall_ms, backup_delays_ms)
+        return DiscoveryCall(
+            target,
+            first_byte_ms=LIST_TIMEOUT_MS,
+            response_ms=LIST_TIMEOUT_MS,
+            stall_ms=self.stall_ms,
+            backup_delays_ms=backup_delays_ms,
+        )
 
 
 def _changes_target(revision: int, wait_ms: float) -> str:
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -123,6 +123,7 @@
         starts, would replace a newer one.
         """
         self.discovery = discovery
+        self._freshness.service_ms = 0.0  # that of another service
         self._needs_full_list = True
         if not self._is_started:
             return
@@ -204,14 +205,17 @@
         try:
             while caller is self._watch_caller:  # else the address has changed
                 started_at = self._clock.now()
-                call = self._next_call(caller)
+                call = self._next_call(caller).adapted_to(self._freshness.service_ms)
                 watch = self._watches[caller]
                 watch.called_at = started_at
                 watch.is_overtaken = False
                 self._freshness.record_call()
                 await caller.get(call, partial(self._accept, caller), partial(self._continue_without, caller))
+                taken_ms = self._clock.now() - started_at
+                if self._watches[caller].address == self.discovery:
+                    self._freshness.record_service_time(taken_ms, call.wait_ms)
                 if call.target == LIST_PATH:
-                    self._counters.observe("list_ms", self._clock.now() - started_at)
+                    self._counters.observe("list_ms", taken_ms)
                 # Limits the load on discovery if it answers each call at once.
                 pause_ms = started_at + WATCH_INTERVAL_MS - self._clock.now()
                 if pause_ms > 0:
--- a/tests/discovery/test_backup_calls.py
+++ b/tests/discovery/test_backup_calls.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from support.network import ScriptedServer, log_and_counters
+from support.network import ManualClock, ScriptedServer, log_and_counters
 from support.node import endpoint_list, json_response
 
 from flintridge import api
@@ -11,6 +11,7 @@
 from flintridge.discovery.backup_calls import BackedUpCaller
 from flintridge.discovery.call import CallTimes, DiscoveryCall
 from flintridge.discovery.client import DiscoveryClient
+from flintridge.discovery.list_freshness import ListFreshness
 from flintridge.lab import virtual
 from flintridge.runtime.clock import NS_PER_MS, DeadlineExceededError, SystemClock
 
@@ -160,3 +161,44 @@
         assert stall_ms <= ms < stall_ms + 50
 
     virtual.run(test())
+
+
+@pytest.mark.parametrize(
+    ("service_ms", "overdue_ms", "has_backups"),
+    [
+        (0.0, 3_000, True),
+        (499.0, 3_000, True),
+        (500.0, 3_000, False),
+        (2_000.0, 4_000, False),
+        (9_000.0, 5_000, False),
+    ],
+)
+def test_call_when_discovery_is_slow_then_is_awaited_for_longer_and_has_no_backups(
+    service_ms, overdue_ms, has_backups
+):
+    rules = api.Rules(drain_grace_ns=2_000 * NS_PER_MS)
+    times = CallTimes.of(api.Settings(rules=rules, discovery=api.DiscoveryMode.PUSHED))
+    for call in (times.confirmation(1), times.full_list()):
+        adapted = call.adapted_to(service_ms)
+        assert (adapted.first_byte_ms, adapted.response_ms) == (overdue_ms, overdue_ms)
+        assert bool(adapted.backup_delays_ms) is has_backups
+
+
+@pytest.mark.parametrize(
+    ("service_ms", "overdue_ms"), [(0.0, 3_000), (500.0, 3_000), (1_200.0, 4_400), (9_000.0, 5_000)]
+)
+def test_watch_call_when_discovery_is_slow_then_its_silence_is_still_detected_within_6_s(
+    service_ms, overdue_ms
+):
+    rules = api.Rules(drain_grace_ns=2_000 * NS_PER_MS)
+    watch = CallTimes.of(api.Settings(rules=rules)).watch(1).adapted_to(service_ms)
+    assert watch.first_byte_ms == overdue_ms
+    assert watch.response_ms == max(4_000, overdue_ms)
+
+
+@pytest.mark.parametrize(("response_ms", "service_ms"), [(2_600.0, 600.0), (2_000.0, 0.0), (1_900.0, 70.0)])
+def test_service_time_when_a_change_is_reported_early_then_is_not_known(response_ms, service_ms):
+    freshness = ListFreshness(ManualClock())
+    freshness.record_service_time(response_ms=90.0, wait_ms=20.0)
+    freshness.record_service_time(response_ms, wait_ms=2_000.0)
+    assert freshness.service_ms == service_ms
--- a/tests/discovery/test_slow_discovery.py
+++ b/tests/discovery/test_slow_discovery.py
@@ -61,6 +61,48 @@
     assert max(known_s) <= 2 * sum(pauses_s) + LONGEST_PAUSE_S
 
 
+@each_mode
+@pytest.mark.parametrize("delay_s", [1.5, 2.5, 4.0])
+def test_drain_when_discovery_serves_one_call_at_a_time_then_is_known_after_two_calls_at_most(mode, delay_s):
+    """Guards against a node that calls more often than discovery can answer: no call was answered in time."""
+
+    async def test() -> None:
+        discovery = SlowDiscovery(serves_one_at_a_time=True)
+        async with node_beside(discovery, mode) as notified:
+            await notified.node.start()
+            await notified.seconds_until(EndpointState.READY, 1.0)
+            await asyncio.sleep(5)
+            discovery.delay_s = delay_s
+            await asyncio.sleep(60)
+            calls = discovery.calls
+            await asyncio.sleep(240)
+            assert discovery.calls - calls <= 240 / delay_s
+            discovery.change(2, s1="terminating", s2="in_service")
+            known_s = await notified.seconds_until(EndpointState.DRAINING, KNOWN_LIMIT_S)
+            assert known_s <= 2 * delay_s + LONGEST_PAUSE_S
+
+    virtual.run(test())
+
+
+def test_reload_when_the_old_discovery_was_slow_then_calls_to_the_new_one_have_backups():
+    """Guards against a new discovery that counts as slow like the old one while its first call is silent."""
+
+    async def test() -> None:
+        old = SlowDiscovery(2.5)
+        new = SlowDiscovery(3_600.0)
+        await new.open()
+        async with node_beside(old, DiscoveryMode.PUSHED) as notified:
+            await notified.node.start()
+            await notified.seconds_until(EndpointState.READY, 3.0)
+            await asyncio.sleep(5)
+            notified.node.reload(replace(notified.config, discovery=Address("127.0.0.1", new.port)))
+            await asyncio.sleep(2 * GRACE_MS / 4 / 1_000)
+            assert new.calls == 2
+        new.close()
+
+    virtual.run(test())
+
+
 @each_mode
 @pytest.mark.parametrize("delay_s", [2.5, 3.5, 5.0])
 def test_reload_when_the_new_discovery_is_slow_then_its_first_answer_is_used(mode, delay_s):
