Keep the backups of calls to discovery after a single slow response

Cause: one slow response counted as a slow discovery. Now the last two responses count, by the shorter time, and backups are left out only if all of them would be sent within that time, so that they still help where discovery takes less than the sum of their delays (1.5 s with a grace of 2 s).

--- a/flintridge/discovery/call.py
+++ b/flintridge/discovery/call.py
@@ -63,19 +63,19 @@
         """Return the call to a discovery that may be slow.
 
         Calls beyond one at a time make a discovery slower that serves one after another, also if their
-        callers have left. So backups are sent only if they are not expected to wait like the first call.
+        callers have left. So no backups are sent if they would all be sent before the first call is answered.
 
         Args:
-            service_ms: How long discovery took for its last response, beyond the time that its call waited.
+            service_ms: How long discovery takes for a response, beyond the time that its call waits.
         """
         longest_ms = max(MAX_EXPECTED_RESPONSE_MS, self.wait_ms + MAX_EXPECTED_BEYOND_WAIT_MS)
         expected_ms = min(self.wait_ms + RESPONSE_TIME_FACTOR * service_ms, longest_ms)
-        expects_backups = any(service_ms < delay_ms for delay_ms in self.backup_delays_ms[:1])
+        has_backups = service_ms < sum(self.backup_delays_ms)
         return replace(
             self,
             first_byte_ms=max(self.first_byte_ms, expected_ms),
             response_ms=max(self.response_ms, expected_ms),
-            backup_delays_ms=self.backup_delays_ms if expects_backups else (),
+            backup_delays_ms=self.backup_delays_ms if has_backups else (),
         )
 
 
--- a/flintridge/discovery/list_freshness.py
+++ b/flintridge/discovery/list_freshness.py
@@ -9,8 +9,6 @@
     Attributes:
         failures: The calls that have failed since the last response.
         is_confirmed: Whether the last call was answered; before, the list in use may be outdated.
-        service_ms: How long discovery took for its last response, beyond the time that its call waited for a
-            change; 0 before the first response.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -18,7 +16,7 @@
         self.failures = 0
         self._clock = clock
         self.is_confirmed = False
-        self.service_ms = 0.0
+        self._service_times_ms = (0.0, 0.0)  # of the last two responses
         self._responded_at = clock.now()
         self._called_at = clock.now()
 
@@ -42,13 +40,25 @@
         self.failures = 0
         self.is_confirmed = True
 
+    @property
+    def service_ms(self) -> float:
+        """How long discovery takes for a response, beyond the time that its call waits, in milliseconds.
+
+        A single slow response does not show that discovery is slow.
+        """
+        return min(self._service_times_ms)
+
     def record_service_time(self, response_ms: float, wait_ms: float) -> None:
         """Record how long a response took, and how long its call was to wait for a change at most.
 
         A response that came earlier reports a change; it does not show how long discovery needed for it.
         """
         if response_ms >= wait_ms:
-            self.service_ms = response_ms - wait_ms
+            self._service_times_ms = (self._service_times_ms[1], response_ms - wait_ms)
+
+    def reset_service_time(self) -> None:
+        """Discard the times of the last responses, which were those of another service."""
+        self._service_times_ms = (0.0, 0.0)
 
     def record_failure(self) -> None:
         """Record that a call failed."""
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -123,7 +123,7 @@
         starts, would replace a newer one.
         """
         self.discovery = discovery
-        self._freshness.service_ms = 0.0  # that of another service
+        self._freshness.reset_service_time()
         self._needs_full_list = True
         if not self._is_started:
             return
--- a/tests/discovery/test_slow_discovery.py
+++ b/tests/discovery/test_slow_discovery.py
@@ -84,6 +84,25 @@
     virtual.run(test())
 
 
+@pytest.mark.parametrize("is_slow_still", [False, True])
+def test_drain_when_discovery_was_slow_and_the_watch_breaks_then_is_known_within_the_grace(is_slow_still):
+    """Guards against calls without a backup after one slow response: the next one may have none at all."""
+
+    async def test() -> None:
+        discovery = SlowDiscovery(1.9)
+        async with node_beside(discovery, DiscoveryMode.PUSHED) as notified:
+            await notified.node.start()
+            await notified.seconds_until(EndpointState.READY, 2.0)
+            discovery.delay_s = 0.8 if is_slow_still else 0.0
+            await asyncio.sleep(8.5 if is_slow_still else 1.0)
+            discovery.next_delays_s.append(3_600.0)
+            discovery.reset_connections()
+            discovery.change(2, s1="terminating", s2="in_service")
+            assert await notified.seconds_until(EndpointState.DRAINING, 10.0) <= GRACE_MS / 1_000
+
+    virtual.run(test())
+
+
 def test_reload_when_the_old_discovery_was_slow_then_calls_to_the_new_one_have_backups():
     """Guards against a new discovery that counts as slow like the old one while its first call is silent."""
 
