--- a/flintridge/discovery/startup_fallback.py
+++ b/flintridge/discovery/startup_fallback.py
@@ -16,8 +16,8 @@
 FALLBACK_AFTER_MS = 1_500.0
 # A call that fails after this time was held by discovery, which is up then: it may have too many callers.
 IMMEDIATE_FAILURE_MS = 500.0
-# How long a starting node waits for a discovery that is up and answers no call. Whatever becomes of the calls,
-# a change counts as notified after this time. Nine of ten restarted nodes have to be ready within 10 s.
+# How long a starting node waits for a discovery that is up and answers no call. A change counts as notified
+# after this time in any case. Nine of ten restarted nodes have to be ready within 10 s.
 MAX_FALLBACK_WAIT_MS = 6_000.0
 
 
