Use one slow stand-in for discovery in the tests of starts and of running nodes

test_startup_fallback had a stand-in of its own beside SlowDiscovery, with the same loop over calls.

--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -5,6 +5,7 @@
 import re
 from collections import deque
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 
 from flintridge import api
 from flintridge.api import DiscoveryMode, EndpointState
@@ -17,6 +18,21 @@
 
 GRACE_MS = 2_000
 POLL_S = 0.005
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+NEVER_S = 3_600.0
+
+
+@dataclass(frozen=True)
+class Failure:
+    """How a call fails.
+
+    Attributes:
+        response: What discovery writes; None: it ends the connection.
+        held_s: How long it holds the call before.
+    """
+
+    response: bytes | None
+    held_s: float = 0.0
 
 
 class SlowDiscovery:
@@ -28,6 +44,7 @@
         calls_in_flight: The number of calls that are not answered, and whose callers have not left.
         delay_s: How long each call waits.
         next_delays_s: How long the next calls wait instead, one each.
+        next_failures: How the next calls fail, one each.
         pauses_s: The pauses within each response, which is written in equal pieces.
         serves_one_at_a_time: Whether a call waits until all earlier ones have had their `delay_s`, also those
             whose caller has left.
@@ -45,6 +62,7 @@
         self.pauses_s = pauses_s
         self.serves_one_at_a_time = serves_one_at_a_time
         self.next_delays_s: deque[float] = deque()
+        self.next_failures: deque[Failure] = deque()
         self.calls = 0
         self.calls_in_flight = 0
         self.port = 0
@@ -81,13 +99,23 @@
         try:
             while call := await reader.readuntil(b"\r\n\r\n"):
                 self.calls += 1
-                await self._serve_until_left(call.decode(), reader, writer)
+                if self.next_failures:
+                    await self._fail(self.next_failures.popleft(), writer)
+                else:
+                    await self._serve_until_left(call.decode(), reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
             self._tasks.discard(task)
 
+    async def _fail(self, failure: Failure, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(failure.held_s)
+        if failure.response is None:
+            writer.transport.abort()
+        else:
+            writer.write(failure.response)
+
     async def _serve_until_left(
         self, call: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
