Move applying and logging discovery's responses from the watcher to ListUpdater

What it did with a response once that was received (apply it, count it, log the list's age, corrections and failures) is a module of its own now; the watcher decides which call is made and which response counts.

--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -7,11 +7,12 @@
 
 from flintridge.api import EndpointUpdate, UpdateKind
 from flintridge.config.address import Address
-from flintridge.discovery.backup_calls import CALL_ERRORS, BackedUpCaller
+from flintridge.discovery.backup_calls import BackedUpCaller
 from flintridge.discovery.call import LIST_PATH, CallTimes, DiscoveryCall
 from flintridge.discovery.client import DiscoveryClient, DiscoveryResponse
 from flintridge.discovery.endpoint_list import EndpointList, OvertakenListError, RevisionWentBackError
 from flintridge.discovery.list_freshness import ListFreshness
+from flintridge.discovery.list_updater import ListUpdater
 from flintridge.discovery.startup_fallback import StartupFallback
 from flintridge.runtime.clock import Clock, DeadlineExceededError, sleep
 from flintridge.telemetry.counters import Counters
@@ -83,12 +84,12 @@
         self._fetch_task: asyncio.Task[None] | None = None
         # Changes since the known revision would mean nothing: the next call fetches the full list.
         self._needs_full_list = False
-        self._logged_correction_ms = 0.0  # correction of the wall clock that was last logged
         self._is_started = False
         # Whether the last call confirmed the list because the connection had ended.
         self._confirmed_after_end = False
         self._fallback: StartupFallback | None = None
         self._freshness = ListFreshness(clock)
+        self._updater = ListUpdater(endpoints, self._freshness, log, counters)
 
     @property
     def has_list(self) -> bool:
@@ -303,57 +304,12 @@
         requested_at: float | None = None,
         is_overtaken: bool = False,
     ) -> EndpointUpdate:
-        update = self._endpoints.apply_json(
-            response.body, response.date_ms, is_overtaken=is_overtaken, requested_at=requested_at
-        )
-        self._log_correction()
-        self._counters.add("endpoint_list_updates")
-        self._record_response()
-        if update.endpoints:
-            states = {endpoint.server: endpoint.state.value for endpoint in update.endpoints}
-            self._log.event(
-                "endpoint_list", kind=update.kind.value, revision=update.version, endpoints=states
-            )
+        update = self._updater.apply(response, self.discovery, requested_at, is_overtaken)
         if self._fallback is not None:
             self._fallback.cancel()
         self._notify(update)
         return update
 
-    def _record_response(self) -> None:
-        if self._freshness.failures:
-            self._counters.observe("list_age_ms", self._freshness.age_ms)
-            self._log.event(
-                "endpoint_list_recovered",
-                address=str(self.discovery),
-                list_age_ms=round(self._freshness.age_ms),
-                failures=self._freshness.failures,
-            )
-        self._freshness.record_response()
-
-    def _log_correction(self) -> None:
-        starts = self._endpoints.starts
-        if starts.correction_ms == self._logged_correction_ms:
-            return
-        self._log.event(
-            "unix_origin_corrected",
-            evidence=starts.evidence.value,
-            before_ms=round(self._logged_correction_ms),
-            after_ms=round(starts.correction_ms),
-        )
-        self._logged_correction_ms = starts.correction_ms
-
     def _report_failure(self, error: Exception) -> None:
-        self._counters.add("endpoint_list_failures")
-        if not isinstance(error, CALL_ERRORS):
-            self._log.error("endpoint_list_internal_error", error)
-        self._freshness.record_failure()
-        self._log.event(
-            "endpoint_list_failed",
-            error=repr(error),
-            address=str(self.discovery),
-            call="list" if self._needs_full_list else "changes",
-            took_ms=round(self._freshness.call_ms),
-            list_age_ms=round(self._freshness.age_ms),
-            failures=self._freshness.failures,
-        )
+        self._updater.record_failure(error, self.discovery, is_full_list=self._needs_full_list)
         self._notify(EndpointUpdate(UpdateKind.FAILED))
