--- a/flintridge/discovery/call.py
+++ b/flintridge/discovery/call.py
@@ -21,8 +21,9 @@
 # How long an overdue response is still accepted, from the start of its call, beyond the time that the call
 # may wait.
 LATE_RESPONSE_MS = 10_000.0
-# Where discovery was slow for its last response, the next one is awaited for twice that time, within limits:
-# a silent call is to be detected within the 6 s after which the changes that it misses count as notified.
+# Where discovery was slow for its last two responses, the next one is overdue only after twice the shorter of
+# their times, within limits: a call whose connection fell silent has to be replaced within 6 s, when the
+# changes that it misses count as notified.
 RESPONSE_TIME_FACTOR = 2.0
 MAX_EXPECTED_RESPONSE_MS = 5_000.0
 MAX_EXPECTED_BEYOND_WAIT_MS = 3_000.0
--- a/flintridge/discovery/list_freshness.py
+++ b/flintridge/discovery/list_freshness.py
@@ -16,7 +16,7 @@
         self.failures = 0
         self._clock = clock
         self.is_confirmed = False
-        self._service_times_ms = (0.0, 0.0)  # of the last two responses
+        self._service_times_ms = (0.0, 0.0)  # the last two responses, the newest last
         self._responded_at = clock.now()
         self._called_at = clock.now()
 
--- a/flintridge/discovery/watcher.py
+++ b/flintridge/discovery/watcher.py
@@ -80,7 +80,7 @@
         # By connection, the newest last: the watch, a call whose response is overdue, and calls in flight to
         # addresses that were used before.
         self._watches: dict[BackedUpCaller, _Watch] = {}
-        self._watch_caller: BackedUpCaller | None = None  # that of the watch, None if there is no watch
+        self._watch_caller: BackedUpCaller | None = None  # sends the watch's calls; None without a watch
         self._fetch_task: asyncio.Task[None] | None = None
         # Changes since the known revision would mean nothing: the next call fetches the full list.
         self._needs_full_list = False
