Reserve the ports of nodes that tests start later

Cause: four tests and one benchmark picked a free port, closed its socket and started a node at that port seconds later. The kernel selects the ports of outgoing connections from the same range, so a connection of a test beside it can have the port by then.

Change: they use reserved_port(), which keeps a bound socket. What the tests check is unchanged.

--- a/benchmarks/long_values.py
+++ b/benchmarks/long_values.py
@@ -8,11 +8,15 @@
 """
 
 import asyncio
-import socket
+import sys
 import tempfile
 import time
 from pathlib import Path
 
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
+
+from support.reserved_port import reserved_port
+
 from benchmarks.node_cost import Node, serve_nothing
 
 READERS = 60
@@ -80,16 +84,12 @@
     return (time.perf_counter() - started_at) * 1000
 
 
-def free_port() -> int:
-    """A port that nothing listens on."""
-    with socket.socket() as bound:
-        bound.bind(("127.0.0.1", 0))
-        port: int = bound.getsockname()[1]
-        return port
-
+async def main(admin_port: int) -> None:
+    """Let all clients read and write at the same time, and print the node's memory.
 
-async def main() -> None:
-    """Let all clients read and write at the same time, and print the node's memory."""
+    Args:
+        admin_port: The port of the node's admin API.
+    """
     servers = [
         await asyncio.start_server(serve, "127.0.0.1", 0)
         for serve in (serve_cache, serve_origin, serve_nothing)
@@ -99,7 +99,6 @@
     member = {"id": "o", "host_port": f"127.0.0.1:{ports[1]}", "flavor": "origin", "phase": "in_service"}
     node.config["known"]["members"].append(member)
     node.config["limits"] = LIMITS
-    admin_port = free_port()
     node.config["console"] = f"127.0.0.1:{admin_port}"
     with tempfile.TemporaryDirectory() as folder:
         await node.start(Path(folder))
@@ -129,4 +128,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main())
+    with reserved_port() as port:
+        asyncio.run(main(port))
--- a/tests/downstream/test_admin_api.py
+++ b/tests/downstream/test_admin_api.py
@@ -15,6 +15,7 @@
 from support.network import FIXED, ManualClock, ScriptedServer, log_and_counters, until
 from support.paths import ROOT
 from support.program import Program, cache
+from support.reserved_port import reserved_port
 
 from flintridge.config.address import Address
 from flintridge.config.errors import ConfigError
@@ -170,17 +171,10 @@
     return int(response.split()[1]), orjson.loads(response.partition(b"\r\n\r\n")[2])
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
-
-
 def test_program_when_called_by_its_admin_api_then_drains_resumes_and_shuts_down(tmp_path):
     async def test():
         async with ScriptedServer(cache) as cache_server, ScriptedServer(lambda _: b"") as discovery:
             program = Program(tmp_path, {"box": cache_server}, discovery)
-            admin_port = free_port()
             config_fields = json.loads(program.config.read_text()) | {"console": f"127.0.0.1:{admin_port}"}
             program.config.write_text(json.dumps(config_fields))
             port = await program.start()
@@ -213,7 +207,8 @@
                 if program.process.returncode is None:
                     program.process.kill()
 
-    asyncio.run(test())
+    with reserved_port() as admin_port:
+        asyncio.run(test())
 
 
 def test_shared_address_when_one_of_two_programs_shuts_down_then_no_request_is_lost(tmp_path):
@@ -222,7 +217,6 @@
     async def test():
         async with ScriptedServer(cache) as cache_server, ScriptedServer(lambda _: b"") as discovery:
             programs = []
-            port = free_port()
             for name in ("old", "new"):
                 (tmp_path / name).mkdir()
                 program = Program(tmp_path / name, {"box": cache_server}, discovery)
@@ -277,14 +271,14 @@
                     if program.process.returncode is None:
                         os.kill(program.process.pid, signal.SIGKILL)
 
-    asyncio.run(test())
+    with reserved_port() as port:
+        asyncio.run(test())
 
 
 def test_new_version_when_it_cannot_start_then_reports_why_and_the_old_one_serves(tmp_path):
     async def test():
         async with ScriptedServer(cache) as cache_server, ScriptedServer(lambda _: b"") as discovery:
             program = Program(tmp_path, {"box": cache_server}, discovery)
-            port, admin_port = free_port(), free_port()
             config_fields = json.loads(program.config.read_text()) | {"listen": f"127.0.0.1:{port}"}
             program.config.write_text(json.dumps(config_fields | {"console": f"127.0.0.1:{admin_port}"}))
             await program.start()
@@ -317,7 +311,8 @@
                 program.process.kill()
                 await program.process.wait()
 
-    asyncio.run(test())
+    with reserved_port() as port, reserved_port() as admin_port:
+        asyncio.run(test())
 
 
 def test_admin_call_when_the_event_loop_is_never_idle_then_gets_its_response_in_few_iterations():
--- a/tests/processes/test_repeated_ids.py
+++ b/tests/processes/test_repeated_ids.py
@@ -2,22 +2,16 @@
 
 import asyncio
 import json
-import socket
 
 import pytest
 from support import crowd
 from support.network import ScriptedServer, until
 from support.program import Program, cache, origin
+from support.reserved_port import reserved_port
 
 WRITE = b"ms menu 2 Oa1 Pc=put,d=2400,k=a1\r\nhi\r\n"
 
 
-def free_port() -> int:
-    with socket.socket() as listening:
-        listening.bind((crowd.HOST, 0))
-        return listening.getsockname()[1]
-
-
 async def send_and_leave(port: int, origin_server: ScriptedServer) -> None:
     """Send the write, and leave once the origin has received it."""
     _, writer = await asyncio.open_connection(crowd.HOST, port)
@@ -37,7 +31,6 @@
             monkeypatch.setenv("TMPDIR", str(tmp_path))
             program = Program(tmp_path, {"box": cache_server, "origin": origin_server}, discovery)
             config = json.loads(program.config.read_text())
-            port = free_port()
             program.config.write_text(json.dumps(config | {"listen": f"{crowd.HOST}:{port}"}))
             async with program.running():
                 await send_and_leave(port, origin_server)
@@ -53,4 +46,5 @@
                         assert await crowd.one_response(port, WRITE) == b"CLIENT_ERROR id in use\r\n"
                 assert len(origin_server.received) == 1
 
-    asyncio.run(test())
+    with reserved_port() as port:
+        asyncio.run(test())
