--- a/flintridge/codec/http/origin.py
+++ b/flintridge/codec/http/origin.py
@@ -19,17 +19,19 @@
 
 
 class _SingleResponseExchange:
-    """Base class for HTTP exchanges. After a malformed response, the request may have been executed."""
+    """Base class for HTTP exchanges. After a malformed response, the request may have been executed.
+
+    Attributes:
+        reusable: See `Exchange.reusable`; False after a malformed response, as it may have been the response
+            to another request, and the response to this one may be still to come.
+        names_request: See `Exchange.names_request`.
+    """
 
     def __init__(self, http: HttpExchange) -> None:
         self._http = http
+        self.reusable = False
         self.names_request = False  # HTTP itself does not identify a response's request
 
-    @property
-    def reusable(self) -> bool:
-        """See `Exchange.reusable`."""
-        return self._http.reusable
-
     @property
     def unreserved_body_bytes(self) -> int:
         """See `Exchange.unreserved_body_bytes`."""
@@ -50,7 +52,7 @@
             response = self._http.feed(data)
         except h11.RemoteProtocolError:
             return AttemptResult(Outcome.ERROR, malformed=True)
-        return self._result(response) if response is not None else None
+        return self._complete(response) if response is not None else None
 
     def end(self) -> AttemptResult | None:
         """See `Exchange.end`. Only a body without a length may end with the connection."""
@@ -58,7 +60,12 @@
             response = self._http.feed(b"")
         except h11.RemoteProtocolError:
             return None
-        return self._result(response) if response is not None else None
+        return self._complete(response) if response is not None else None
+
+    def _complete(self, response: HttpResponse) -> AttemptResult:
+        result = self._result(response)
+        self.reusable = self._http.reusable and not result.malformed
+        return result
 
     def _result(self, response: HttpResponse) -> AttemptResult:
         raise NotImplementedError
@@ -126,6 +133,8 @@
         super().__init__(HttpExchange(b"GET", b"/-/load", [(b"Host", host.encode())]))
 
     def _result(self, response: HttpResponse) -> AttemptResult:
+        if header_value(response.head, b"req-id") is not None:  # the late response to a request
+            return AttemptResult(Outcome.ERROR, malformed=True)
         load = parse_load_report(header_value(response.head, b"srv-load") or response.body)
         ok = response.head.status_code == STATUS_OK
         return AttemptResult(Outcome.OK if ok else Outcome.ERROR, load=load)
