--- a/flintridge/core/lifecycle.py
+++ b/flintridge/core/lifecycle.py
@@ -10,7 +10,7 @@
 from flintridge.core.attempts import attempt_ended_event, new_attempt, unsent_outcome
 from flintridge.core.deadlines import ResponseDeadlines
 from flintridge.core.drivers import DiscoveryDriver, Policy, UpstreamDriver
-from flintridge.core.executed_ids import ExecutedIds
+from flintridge.core.executed_ids import BeginResult, ExecutedIds
 from flintridge.core.memory_budget import MemoryBudget, bytes_to_reserve, unlimited_memory
 from flintridge.core.open_requests import IdInUseError, OpenRequest, OpenRequests
 from flintridge.core.policy_driver import PolicyDriver
@@ -66,7 +66,7 @@
         self.open_requests = OpenRequests(
             self.memory_budget, self.request_memory, OPEN_REQUEST_BYTES, self._request_removed
         )
-        self.executed_ids = ExecutedIds(clock)
+        self.executed_ids = ExecutedIds(clock, self.process_memory)
         self.policy_driver = PolicyDriver(policy, self._carry_out, clock, log, counters)
         self.settings = settings
         self.on_attempts_changed: Callable[[UpstreamAttempt, int], None] | None = None
@@ -131,9 +131,16 @@
         """
         request_id = request.id.decode("ascii")
         is_guarded = self.settings.classes[request.class_index].effect is not api.Effect.SAFE
-        if request_id in self.open_requests or (is_guarded and not self.executed_ids.try_begin(request_id)):
+        if request_id in self.open_requests:
+            raise IdInUseError(request_id)
+        begun = self.executed_ids.try_begin(request_id) if is_guarded else BeginResult.BEGUN
+        if begun is BeginResult.IN_USE:
             raise IdInUseError(request_id)
         self._counters.add("requests")
+        if begun is BeginResult.NO_MEMORY:
+            self._counters.add("requests_shed_for_ids")
+            self._shed(responder, reserved_bytes)
+            return request_id
         full = len(self.open_requests) >= self.settings.limits.max_open
         has_memory = self.has_request_memory
         if not reserved_bytes and has_memory and not full:
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -14,6 +14,7 @@
 from flintridge.api import DiscoveryMode
 from flintridge.config.node_config import NodeConfig
 from flintridge.core.drivers import Policy
+from flintridge.core.executed_ids import MEMORY_FRACTION
 from flintridge.core.id_sharing import IdSharing
 from flintridge.core.lifecycle import RequestLifecycle
 from flintridge.core.memory_budget import MemoryBudget
@@ -185,6 +186,7 @@
             "written_values": self.core.memory_budget,
             "server_values": self.dispatcher.value_memory,
             "server_connections": self.dispatcher.connection_memory,
+            "executed_ids": self.core.executed_ids.memory,
         }
         return MemoryMonitor(self.core.process_memory, parts, self.clock, self.log)
 
@@ -286,6 +288,7 @@
             self.dispatcher.connection_memory,
         ):
             part.resize(half_of_memory)
+        self.core.executed_ids.memory.resize(int(limits.process_memory_bytes * MEMORY_FRACTION))
         self.core.memory_budget.resize(limits.memory_bytes)
         self.dispatcher.value_memory.resize(limits.response_memory_bytes)
         self.dispatcher.pool.max_connections = limits.server_connections
