Keep the claims of a process that has ended for 10 s after the last such end

Callers could see a write run twice that came again at the process that remains after two others had started beside it and ended less than 10 s apart.

Cause: the timer of the first end removed all claims, also those of the process that ended later; it checked only that no other process ran at that moment.

Change: the instant at which claims end is set anew by each end, and taken back by each start.

--- a/flintridge/core/id_sharing.py
+++ b/flintridge/core/id_sharing.py
@@ -1,5 +1,7 @@
 """Sharing of request ids between the processes of a node, for as long as there are several."""
 
+import math
+
 from flintridge.core.executed_ids import ID_BYTES, REMEMBERED_MS, ExecutedIds
 from flintridge.runtime.clock import Clock, sleep
 from flintridge.runtime.shared_ids import SharedIds
@@ -29,6 +31,7 @@
         self._ids = ids
         self._clock = clock
         self._shared_ids = SharedIds(processes.folder, log)
+        self._stop_at = math.inf  # when sharing ends, if no other process starts before
         self._files_to_remove: list[str] = []
         self._closed = False
 
@@ -44,8 +47,11 @@
     def process_count_changed(self, count: int) -> None:
         """Begin to share ids, or end it some time after the other processes have ended."""
         if count == 1:  # requests of the processes that have ended may still be sent again
-            self._clock.call_at(self._clock.now() + REMEMBERED_MS, self._stop)
-        elif self._ids.claims is None:
+            self._stop_at = self._clock.now() + REMEMBERED_MS
+            self._clock.call_at(self._stop_at, self._stop)
+            return
+        self._stop_at = math.inf
+        if self._ids.claims is None:
             self._begin()
 
     def close(self) -> None:
@@ -71,7 +77,7 @@
         self._ids.memory.release(used_bytes)
 
     def _stop(self) -> None:
-        if self._closed or self._processes.count > 1:
+        if self._closed or self._clock.now() < self._stop_at:
             return
         self._ids.claims = None
         self._files_to_remove = self._shared_ids.give_up_all()
--- a/tests/core/test_id_sharing.py
+++ b/tests/core/test_id_sharing.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from support.network import ManualClock, log_and_counters
 
 from flintridge.core.executed_ids import ID_BYTES, REMEMBERED_MS, BeginResult, ExecutedIds
@@ -71,18 +72,21 @@
     assert second.ids.memory.reserved == 2 * ID_BYTES
 
 
-def test_id_when_its_process_has_ended_then_is_remembered_by_the_other(tmp_path):
+@pytest.mark.parametrize("again", [False, True], ids=["one ends", "another starts and ends"])
+def test_id_when_its_process_has_ended_then_is_remembered_by_the_other(tmp_path, again):
+    """Guards against claims being removed by the timer of an earlier process's end."""
     clock = ManualClock()
     first = Process(tmp_path, clock)
-    other = Process(tmp_path, clock)
-    start_second(first, other, clock)
-    other.execute("executed")
-    other.sharing.close()
-    first.count_changed(1)
-    clock.advance(REMEMBERED_MS - 1_000)
-    assert not first.may_begin("executed")
+    for start in range(2 if again else 1):
+        other = Process(tmp_path, clock)
+        start_second(first, other, clock)
+        other.execute(f"executed-{start}")
+        other.sharing.close()
+        first.count_changed(1)
+        clock.advance(REMEMBERED_MS - 1_000)
+        assert not first.may_begin(f"executed-{start}")
     clock.advance(1_001)
-    assert first.may_begin("executed")
+    assert first.may_begin("executed-0")
 
 
 def test_files_when_no_other_process_runs_are_removed_in_batches(tmp_path):
