--- a/flintridge/downstream/admin_api.py
+++ b/flintridge/downstream/admin_api.py
@@ -5,18 +5,24 @@
 """
 
 import asyncio
+from functools import partial
 
 from flintridge.config.node_config import ADMIN_CONNECTIONS_MAX
-from flintridge.core.admin_routes import Routes
-from flintridge.downstream.admin_exchange import AdminExchange
+from flintridge.core.admin_routes import AdminResponse, Routes
+from flintridge.downstream.admin_exchange import REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, AdminExchange
 from flintridge.downstream.lingering_close import close_lingering
 from flintridge.downstream.listening_service import ListeningService
 from flintridge.runtime.clock import Clock, DeadlineExceededError, with_timeout
+from flintridge.runtime.hold_ups import HoldUpMonitor
+from flintridge.runtime.streams import TrackingReader, peer_has_closed
 from flintridge.telemetry.counters import Counters
 from flintridge.telemetry.log import EventLog
 
 CALL_TIMEOUT_MS = 3_000.0  # time limit for a call to arrive completely
 READ_BYTES = 4096
+# A call that may change something is not executed if it may have waited for longer, as its caller may have
+# given it up and called another node.
+MAX_CALL_AGE_MS = 1_000.0
 
 
 class AdminApi(ListeningService):
@@ -44,6 +50,7 @@
         self._connection_limit = connection_limit
         # The task of each open connection, in the order of arrival.
         self._callers: dict[asyncio.StreamWriter, asyncio.Task[None] | None] = {}
+        self._hold_ups = HoldUpMonitor(clock)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self._callers) >= self._connection_limit:
@@ -69,7 +76,7 @@
             writer.close()
 
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        exchange = AdminExchange(self._routes)
+        exchange = AdminExchange(self._routes, partial(self._check_caller, reader, writer))
         try:
             buffers = await with_timeout(self.clock, CALL_TIMEOUT_MS, self._read_call(exchange, reader))
         except DeadlineExceededError:
@@ -89,6 +96,32 @@
             if buffers is not None:
                 return buffers
 
+    def _check_caller(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> AdminResponse | None:
+        """Return the response to a call whose caller may no longer wait for it; None if it may be executed.
+
+        Guards against a change that its caller has given up, and that would undo what was done elsewhere
+        meanwhile.
+        """
+        if peer_has_closed(writer.transport):
+            self.counters.add("admin_api_calls_abandoned")
+            self.log.event("admin_call_not_executed", reason="caller_left")
+            return AdminResponse(REQUEST_TIMEOUT, {"error": "not executed: the caller has closed its side"})
+        waited_ms = self._longest_wait_ms(reader)
+        if waited_ms <= MAX_CALL_AGE_MS:
+            return None
+        self.counters.add("admin_api_calls_too_old")
+        self.log.event("admin_call_not_executed", reason="held_up", waited_ms=round(waited_ms))
+        error = f"not executed: the call may have waited for {waited_ms:.0f} ms; call again"
+        return AdminResponse(SERVICE_UNAVAILABLE, {"error": error})
+
+    def _longest_wait_ms(self, reader: asyncio.StreamReader) -> float:
+        """Return how long a call may have waited in the kernel, in milliseconds."""
+        queued_since = reader.queued_since if isinstance(reader, TrackingReader) else None
+        queued_ms = 0.0 if queued_since is None else self.clock.now() - queued_since
+        return max(queued_ms, self._hold_ups.recent_hold_up_ms())
+
     def _abort(self, writer: asyncio.StreamWriter) -> None:
         task = self._callers.pop(writer)
         if task is not None:
@@ -97,6 +130,7 @@
 
     def close(self) -> None:
         """Close the listener and every connection immediately."""
+        self._hold_ups.close()
         if self._listener is not None:
             self._listener.close()
         for writer in list(self._callers):
--- a/flintridge/downstream/admin_exchange.py
+++ b/flintridge/downstream/admin_exchange.py
@@ -5,9 +5,11 @@
     POST /admin/resume     cancel a drain: serve again
 
 Response bodies are JSON objects that contain the node's state. Request bodies are discarded unless the route
-takes one.
+takes one. A call that may change something is executed only if its caller still waits for the response.
 """
 
+from collections.abc import Callable
+
 import h11
 import orjson
 
@@ -22,19 +24,31 @@
 METHOD_NOT_ALLOWED = 405
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
+SERVICE_UNAVAILABLE = 503
 END_OF_ERROR_STATUSES = 600
+SAFE_METHODS = frozenset({b"GET", b"HEAD"})  # their calls change nothing
+
+
+def _accept_call() -> AdminResponse | None:
+    """Default check: every call is executed."""
+    return None
 
 
 class AdminExchange:
     """One call. `feed` returns the response's buffers once the call is complete or found invalid."""
 
-    def __init__(self, routes: Routes) -> None:
+    def __init__(
+        self, routes: Routes, check_caller: Callable[[], AdminResponse | None] = _accept_call
+    ) -> None:
         """Wait for a call.
 
         Args:
             routes: The handler of each path and method.
+            check_caller: Called right before a call is executed that may change something. Returns the
+                response if it must not be executed, otherwise None.
         """
         self._routes = routes
+        self._check_caller = check_caller
         self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._body_bytes = 0
@@ -97,6 +111,9 @@
             allowed = b", ".join(methods)
             response = AdminResponse(METHOD_NOT_ALLOWED, {"error": f"only {allowed.decode()}"})
             return self._respond(response, [(b"Allow", allowed)])
+        refusal = None if self._request.method in SAFE_METHODS else self._check_caller()
+        if refusal is not None:
+            return self._respond(refusal)
         if isinstance(route, RouteWithInput):
             return self._respond(route.call(query, bytes(self._body)))
         return self._respond(route())
