End flintridge state with 1 where an entry was written or may have been

Cause: one error stood for "nothing listens" and for "no response to what was sent", and errors of the wait had the exit code of a command that could not run.

Change: a write without a response ends with 1 and says that its effect is not known; a write that was accepted never ends with 2. A console that answers 503 "not executed" is passed over.

One test asserted code 2 after a write was accepted, against docs/state.md ("Exit code 2 means that the entry was not written"). Its two cases are now two tests, as strict: 2 for the rejected write, 1 with the message for the accepted one.

--- a/flintridge/cli/calls.py
+++ b/flintridge/cli/calls.py
@@ -7,19 +7,24 @@
 
 import click
 
-from flintridge.cli.exits import CommandError
+from flintridge.cli.exits import CommandError, UncertainEffectError
 from flintridge.config.address import Address
 
 TIMEOUT_S = 3.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 OK = 200
 NOT_FOUND = 404
+SERVICE_UNAVAILABLE = 503
 SECONDS_FROM_MS = 10_000  # durations from this length on are shown in seconds
 
 F = TypeVar("F", bound=Callable[..., Any])
 JsonObject = dict[str, Any]  # as the admin API sends it; --json prints all its fields
 
 
+class UnansweredCallError(UncertainEffectError):
+    """A call that may change something was sent, and no response came."""
+
+
 class ConsoleResponse(NamedTuple):
     """A response of the admin API."""
 
@@ -45,6 +50,7 @@
         body: An object to send as JSON, or None.
 
     Raises:
+        UnansweredCallError: The call may change something, was sent, and got no response.
         CommandError: Nothing responds at the address, or the response is not that of a console.
     """
     try:
@@ -52,11 +58,17 @@
     except ValueError as error:
         raise CommandError(f"--console: {error}") from error
     connection = http.client.HTTPConnection(console.host, console.port, timeout=TIMEOUT_S)
+    is_sent = False
     try:
+        connection.connect()
+        is_sent = True
         connection.request(method, path, None if body is None else json.dumps(body).encode())
         response = connection.getresponse()
         fields = json.loads(response.read(MAX_RESPONSE_BYTES))
     except (OSError, http.client.HTTPException) as error:
+        if is_sent and method != "GET":
+            message = f"{address}: no response, so whether the call was executed is not known: {error}"
+            raise UnansweredCallError(message) from error
         raise CommandError(f"{address}: no console responds there: {error}") from error
     except ValueError as error:
         raise CommandError(f"{address}: the response is not from a console") from error
--- a/flintridge/cli/exits.py
+++ b/flintridge/cli/exits.py
@@ -1,8 +1,8 @@
 """How commands end: the three exit codes, and the conversion of errors to messages.
 
 0: the command succeeded and found nothing bad. 1: it ran and found something bad (a broken rule, an unmet
-expectation), or it was interrupted. 2: it could not run as requested: invalid input, a file that cannot be
-read or written, a missing library.
+expectation), it was interrupted, or its effect is not known. 2: it could not run as requested: invalid input,
+a file that cannot be read or written, a missing library.
 """
 
 import sys
@@ -40,6 +40,12 @@
     exit_code = ExitCode.FINDING
 
 
+class UncertainEffectError(CommandError):
+    """The command has changed something, or may have, and can't tell more; exit code 1."""
+
+    exit_code = ExitCode.FINDING
+
+
 class FileFaults:
     """Collects the faults of several files, so that one error reports all of them."""
 
--- a/flintridge/cli/state.py
+++ b/flintridge/cli/state.py
@@ -1,6 +1,5 @@
 """`flintridge state`: the state that operators write at one node and all nodes replicate."""
 
-import contextlib
 import json
 import sys
 import time
@@ -13,14 +12,16 @@
 
 from flintridge.cli.calls import (
     OK,
+    SERVICE_UNAVAILABLE,
     ConsoleResponse,
     JsonObject,
+    UnansweredCallError,
     call,
     consoles_option,
     format_duration,
     response_fields,
 )
-from flintridge.cli.exits import CommandError, ExitCode, errors_as_lines
+from flintridge.cli.exits import CommandError, ExitCode, UncertainEffectError, errors_as_lines
 
 PATH = "/admin/state"
 NO_STATE = "has no state: its configuration has no table [state]"
@@ -308,27 +309,53 @@
 
 
 def _post_to_first_available(consoles: tuple[str, ...], body: JsonObject) -> tuple[str, ConsoleResponse]:
-    """Post to the first console that responds; return its address and response.
+    """Post to the first console that executes the call; return its address and response.
 
     Raises:
-        CommandError: No console responds.
+        UnansweredCallError: No console has executed it for certain, and one that did not respond may have.
+        CommandError: No console has executed it.
     """
-    for address in consoles[:-1]:
-        with contextlib.suppress(CommandError):
-            return address, call(address, PATH, "POST", body)
-    return consoles[-1], call(consoles[-1], PATH, "POST", body)
+    errors: list[CommandError] = []
+    for address in consoles:
+        try:
+            response = call(address, PATH, "POST", body)
+            if response.status != SERVICE_UNAVAILABLE:
+                _warn_of_unanswered(errors)
+                return address, response
+            response_fields(address, response, NO_STATE)
+        except CommandError as error:
+            errors.append(error)
+    unanswered = [error for error in errors if isinstance(error, UnansweredCallError)]
+    raise (unanswered or errors)[-1]
+
+
+def _warn_of_unanswered(errors: list[CommandError]) -> None:
+    """Report the consoles that may have written the entry too."""
+    for error in errors:
+        if isinstance(error, UnansweredCallError):
+            error.show()
 
 
 def _wait_for_nodes(address: str, written: JsonObject, options: WriteOptions) -> int:
-    """Poll until enough nodes have the write or the timeout ends; return how many are known to have it."""
+    """Poll until enough nodes have the write or the timeout ends; return how many are known to have it.
+
+    Raises:
+        UncertainEffectError: The node that wrote the entry can't be asked any more.
+    """
     node_count = 1
     if options.wait is None:
         return node_count
     deadline = time.monotonic() + options.timeout
     while node_count < options.wait and time.monotonic() < deadline:
         time.sleep(POLL_INTERVAL_S)
-        response = call(address, f"{PATH}/had?write={written['write']}")
+        try:
+            response = call(address, f"{PATH}/had?write={written['write']}")
+        except CommandError as error:
+            message = f"{error.message}; the entry was written there, which nodes have it is unknown"
+            raise UncertainEffectError(message) from error
         if response.status != OK or response.fields["life"] != written["life"]:
-            raise CommandError(f"{address}: that process has ended; which nodes have the write is unknown")
+            raise UncertainEffectError(
+                f"{address}: that process has ended; which nodes have the write is unknown"
+            )
         node_count = response.fields["had"]
     return node_count
