--- a/flintridge/lab/defects/leases.py
+++ b/flintridge/lab/defects/leases.py
@@ -138,6 +138,14 @@
         return Allocation.receive(self, now, sender, message, demand)
 
 
+@dataclass(slots=True)
+class HalfForEachProcess(Allocation):
+    """Each process of a node uses half of its units, however many processes there are."""
+
+    def _for_one_process(self, amount: int) -> int:
+        return amount // min(self.process_count, 2)
+
+
 LEASE_DEFECTS: tuple[type[Allocation], ...] = (
     CreditBeforeDebit,
     LeaseFromArrival,
@@ -151,4 +159,5 @@
     RenewalNotCounted,
     ExpiryNotChecked,
     AnotherIncarnationsLeaseEnds,
+    HalfForEachProcess,
 )
--- a/flintridge/leases/allocation.py
+++ b/flintridge/leases/allocation.py
@@ -62,10 +62,10 @@
         terms: Terms of the limit's leases.
         started_at: Time of the start. Until leases that were granted before it have expired, the entitlement
             is only the floor.
-        sole_process: False while a second process of this node runs; each then uses half of its units and
-            grants nothing.
-        unusable_until: Until this time the process uses nothing, because the other process of its node has
-            not noticed it yet.
+        process_count: Number of processes of this node that run. With several, each uses an equal fraction of
+            its units and grants nothing.
+        unusable_until: Until this time the process uses nothing, because the other processes of its node
+            have not noticed it yet.
         granted: Leases that this process granted to others.
         acquired: Leases that others granted to this process.
         requested: Requested units of each request that is pending or was granted.
@@ -74,7 +74,7 @@
 
     terms: LeaseTerms
     started_at: float
-    sole_process: bool = True
+    process_count: int = 1
     unusable_until: float = float("-inf")
     granted: dict[GrantedLeaseKey, Lease] = field(default_factory=dict)
     acquired: dict[AcquiredLeaseKey, Lease] = field(default_factory=dict)
@@ -87,6 +87,11 @@
             self, granted=dict(self.granted), acquired=dict(self.acquired), requested=dict(self.requested)
         )
 
+    @property
+    def sole_process(self) -> bool:
+        """Whether no other process of this node runs."""
+        return self.process_count == 1
+
     # Usable units
 
     def usable(self, now: float) -> int:
@@ -138,7 +143,7 @@
         return sum(lease.amount for lease in self.granted.values() if now < lease.expires_at)
 
     def _for_one_process(self, amount: int) -> int:
-        return amount if self.sole_process else amount // 2
+        return amount // self.process_count
 
     # Messages
 
@@ -229,7 +234,7 @@
         else:
             self.acquired[key] = Lease(min(lease.amount, grant.amount), max(lease.expires_at, expires_at))
 
-    # Expiry, and the other process of this node
+    # Expiry, and the other processes of this node
 
     def remove_expired(self, now: float) -> None:
         """Remove expired leases to bound memory; they are no longer counted in any case."""
@@ -239,24 +244,21 @@
             del self.acquired[key]
             self.requested.pop(key, None)
 
-    def process_joined(self, now: float, notice_ms: float = 0.0) -> None:
-        """Record that a second process of this node runs.
+    def process_count_changed(self, now: float, count: int, notice_ms: float = 0.0) -> None:
+        """Record how many processes of this node run.
+
+        A process that is the only one again has no record of the leases that the others granted, so its
+        entitlement is as after a start.
 
         Args:
             now: The current time.
-            notice_ms: At the process that has just started, the time until the other one has noticed it; 0 at
-                the other one. This process uses nothing during that time, and for another `completion_ms`
-                after it, in which work that the other process began may still go on.
+            count: The number of processes, this one included.
+            notice_ms: At a process that has just started beside others, the time until they have noticed it;
+                0 otherwise. This process uses nothing during that time, and for another `completion_ms` after
+                it, in which work that the others began may still go on.
         """
-        self.sole_process = False
+        if count == 1 and not self.sole_process:
+            self.started_at = now
+        self.process_count = count
         if notice_ms:
             self.unusable_until = now + notice_ms + self.terms.completion_ms
-
-    def process_left(self, now: float) -> None:
-        """Record that this process is the node's only one again.
-
-        It has no record of the leases that the other process granted, so the entitlement is as after a start.
-        """
-        if not self.sole_process:
-            self.sole_process = True
-            self.started_at = now
--- a/flintridge/leases/driver.py
+++ b/flintridge/leases/driver.py
@@ -26,7 +26,7 @@
 from flintridge.telemetry.log import EventLog
 
 TICK_MS = 50.0
-# Time within which an older process of this node has noticed that a second one runs.
+# Time within which the older processes of this node have noticed that another one runs.
 NOTICE_MS = 4 * COUNT_INTERVAL_MS
 RETRIES_INDEX = -1  # key of the allocation of retries in `AllocationUpdate.tenants`
 ROUNDING_TOLERANCE = 1e-9  # a permit counts as whole if no more than this fraction of it is missing
@@ -116,10 +116,8 @@
     def process_count_changed(self, count: int) -> None:
         """Apply the number of processes of this node that run, this one included."""
         now = self._clock.now()
-        if count > 1 and self._process_count == 1:
-            self.manager.process_joined(now, 0.0 if self._started else NOTICE_MS)
-        elif count == 1 and self._process_count > 1:
-            self.manager.process_left(now)
+        notice_ms = NOTICE_MS if count > self._process_count and not self._started else 0.0
+        self.manager.process_count_changed(now, count, notice_ms)
         self._process_count = count
         if self._started:
             self._notify_policy()
--- a/flintridge/leases/lease_manager.py
+++ b/flintridge/leases/lease_manager.py
@@ -95,6 +95,7 @@
         self.counts: Counter[str] = Counter()
         self.requests_per_s = 0.0
         self.shutting_down = False
+        self._process_count = 1
         self._accounts_by_digest = {account.limit.digest: account for account in self.accounts.values()}
         self._peers = frozenset(peers)
         self._log_event = log_event
@@ -134,7 +135,7 @@
         """
         self.accounts[name].in_use = lambda: in_use() * EVEN_FRACTION_UNITS
 
-    # The timer, the shutdown, and a second process of this node
+    # The timer, the shutdown, and other processes of this node
 
     def tick(self, now: float) -> None:
         """Do all that is due. Call it about every 50 ms."""
@@ -157,17 +158,13 @@
                 self._lessee.cancel(account, key)
             self._lessee.release_surplus(account, now)
 
-    def process_joined(self, now: float, notice_ms: float = 0.0) -> None:
-        """Record that a second process of this node runs; see `Allocation.process_joined`."""
+    def process_count_changed(self, now: float, count: int, notice_ms: float = 0.0) -> None:
+        """Record how many processes of this node run; see `Allocation.process_count_changed`."""
+        has_joined = count > self._process_count
+        self._process_count = count
         for account in self.accounts.values():
-            account.allocation.process_joined(now, notice_ms)
-        self._log_event("leases_process_joined")
-
-    def process_left(self, now: float) -> None:
-        """Record that this process is the node's only one again."""
-        for account in self.accounts.values():
-            account.allocation.process_left(now)
-        self._log_event("leases_process_left")
+            account.allocation.process_count_changed(now, count, notice_ms)
+        self._log_event("leases_process_joined" if has_joined else "leases_process_left", count=count)
 
     def _set_demand_by_request_rate(self, now: float) -> None:
         rates = [
--- a/tests/leases/test_lease_processes.py
+++ b/tests/leases/test_lease_processes.py
@@ -312,6 +312,25 @@
     run(2, check, expect_no_breaches=False)  # the judge of peers expects one process for each node
 
 
+def test_processes_of_one_node_when_three_run_use_a_third_each():
+    """Guards against the second and the third process both using the half that two processes have."""
+
+    async def check(rig):
+        await wait_for_status(rig, "n0", lambda status: status["own"] == 1.0)
+        host, _ = rig.fabric.address("listen", "n0")
+        first_port = rig.network.admin_address("n0")[1] + 1
+        others = []
+        for port in (first_port, first_port + 1):
+            others.append(await rig.nodes.start_beside("n0", f"{host}:{port}"))
+            await rig.wait_until(lambda: rig.log_lines("leases_process_joined", others[-1]))
+        await wait_for_status(rig, "n0", lambda status: status["usable"] <= 1 / 3)
+        rig.nodes.term("n0")
+        for process in others:
+            await rig.wait_until(lambda process=process: rig.log_lines("leases_process_left", process))
+
+    run(2, check, expect_no_breaches=False)  # the judge of peers expects one process for each node
+
+
 def test_nodes_when_a_limits_size_differs_lease_one_another_nothing():
     async def check(rig):
         await wait_for_status(rig, "n0", has_acquired)
