Wait for leases that the old process grants until it has noticed the new one

Callers could see more of a leased limit used than it allows, in an upgrade, for up to 1 s.

Cause: a new process had its entitlement once leases from before its start had expired. The old process grants leases until it has noticed the new one, at most 1 s later; these last longer.

Change: a process that starts beside others counts its wait from the end of that time.

--- a/flintridge/leases/allocation.py
+++ b/flintridge/leases/allocation.py
@@ -248,7 +248,8 @@
         """Record how many processes of this node run.
 
         A process that is the only one again has no record of the leases that the others granted, so its
-        entitlement is as after a start.
+        entitlement is as after a start. The same holds for a new process, until the leases have expired that
+        the others granted before they noticed it.
 
         Args:
             now: The current time.
@@ -261,4 +262,5 @@
             self.started_at = now
         self.process_count = count
         if notice_ms:
+            self.started_at = now + notice_ms
             self.unusable_until = now + notice_ms + self.terms.completion_ms
--- a/tests/leases/test_allocation.py
+++ b/tests/leases/test_allocation.py
@@ -68,12 +68,18 @@
     [
         ({"starts": 3, "ends": 3}, 3_000),
         ({"starts": 2, "ends": 2, "pauses": 2}, 10_000),
+        ({"requests": 1, "starts": 2}, 20_000),
+        ({"requests": 1, "starts": 1, "pauses": 1}, 10_000),
     ],
 )
 def test_usable_sum_when_processes_of_a_node_start_and_end_in_any_order_never_exceeds_the_limit(
     speeds, left, states
 ):
-    """Guards against three processes of a node that each use the half that two have."""
+    """Guards against three processes of a node that each use the half that two have.
+
+    With requests, guards against a new process that has its entitlement before the leases have expired that
+    another one granted before it noticed the new one.
+    """
     remaining = RemainingSteps(**NO_STEPS | left)
     found = explore(LeaseState.begin(speeds, remaining, terms=DIVISIBLE_TERMS))
     assert found.is_complete, found.path
