Grant no lease before a resumed process has counted its node's processes

Callers could see more of a leased limit used than it allows: by a process that was stopped while another one of its node started, and that granted a lease before it noticed that one.

Cause: a new process relies on being counted within 1 s. After a stop the event loop handles waiting datagrams before the timer of the count.

Change: a request for a lease is passed over while the last count is older than 0.5 s.

Evidence: found by reading; two tests force it, and neither had anything to call before.

--- a/flintridge/fleet.py
+++ b/flintridge/fleet.py
@@ -85,6 +85,11 @@
         """Whether the replica is synchronized with another node's; True without a replica."""
         return self.replication is None or self.replication.is_synchronized()
 
+    def check_process_count_by(self, is_current: Callable[[], bool]) -> None:
+        """Set the function that returns whether the number of this node's processes was counted recently."""
+        if self.leases is not None:
+            self.leases.manager.is_process_count_current = is_current
+
     def process_count_changed(self, count: int) -> None:
         """Adapt to the current number of processes of this node."""
         if self.leases is not None:
--- a/flintridge/leases/lease_manager.py
+++ b/flintridge/leases/lease_manager.py
@@ -55,6 +55,11 @@
     """Ignore the event, where no log is given."""
 
 
+def _count_is_current() -> bool:
+    """Default: the process is the only one of its node, and no other can start."""
+    return True
+
+
 class LeaseManager:
     """The leases of one process.
 
@@ -65,6 +70,8 @@
         counts: Number of events of each kind since the start, by the names that GET /admin/budgets shows.
         requests_per_s: Request rate of this process in requests a second, as last reported.
         shutting_down: Whether this process is shutting down.
+        is_process_count_current: Returns whether the number of this node's processes was counted recently.
+            Without that nothing is granted, as another process may have started.
     """
 
     name = "budgets"
@@ -95,6 +102,7 @@
         self.counts: Counter[str] = Counter()
         self.requests_per_s = 0.0
         self.shutting_down = False
+        self.is_process_count_current: Callable[[], bool] = _count_is_current
         self._process_count = 1
         self._accounts_by_digest = {account.limit.digest: account for account in self.accounts.values()}
         self._peers = frozenset(peers)
@@ -224,6 +232,8 @@
     def receive(self, account: Account, sender: ProcessId, message: LeaseMessage, now: float) -> None:
         """Apply a message about the limit of `account`."""
         match message:
+            case LeaseRequest() if not self.is_process_count_current():
+                self.counts["refused_count"] += 1  # not answered: the lessee asks again
             case LeaseRequest():
                 self._grantor.on_request(account, sender, message, now)
             case LeaseGrant():
--- a/flintridge/node.py
+++ b/flintridge/node.py
@@ -109,8 +109,9 @@
         self._worker_processes = self._make_worker_processes(shared_directory)
         self._id_sharing: IdSharing | None = None
         if self._worker_processes is not None:
-            ids = self.core.executed_ids
-            self._id_sharing = IdSharing(self._worker_processes, ids, self.clock, self.log)
+            processes = self._worker_processes
+            self._fleet.check_process_count_by(lambda: processes.is_count_current)
+            self._id_sharing = IdSharing(processes, self.core.executed_ids, self.clock, self.log)
         self.memory_monitor = self._make_memory_monitor()
 
     # Creation of the components
--- a/flintridge/runtime/worker_processes.py
+++ b/flintridge/runtime/worker_processes.py
@@ -13,6 +13,7 @@
 import contextlib
 import errno
 import fcntl
+import math
 import os
 import re
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 from flintridge.telemetry.log import EventLog
 
 COUNT_INTERVAL_MS = 250.0  # between two counts of the processes
+COUNT_VALID_MS = 2 * COUNT_INTERVAL_MS  # an older count may miss a process that has started since
 MAX_LOCK_ATTEMPTS = 64  # per count
 
 NUMBERED_NAME = re.compile(r"(\d+)-\d+-\d+")
@@ -62,6 +64,12 @@
         self._names_before: frozenset[str] = frozenset()  # files that existed before this process's own
         self._error: str | None = None  # why the last count failed; None if it succeeded
         self._timer: Timer | None = None
+        self._counted_at = -math.inf
+
+    @property
+    def is_count_current(self) -> bool:
+        """Whether the last count is recent; it isn't after the process was stopped, until the next count."""
+        return self._clock.now() - self._counted_at <= COUNT_VALID_MS
 
     def start(self) -> None:
         """Lock this process's file and start counting; call this before the node listens.
@@ -113,6 +121,7 @@
         self._note_error(error)
 
     def _note_count(self, count: int) -> None:
+        self._counted_at = self._clock.now()
         if count != self.count:
             self.count = count
             self._log.event("worker_processes", count=count)
--- a/tests/leases/test_lease_manager.py
+++ b/tests/leases/test_lease_manager.py
@@ -189,6 +189,19 @@
     assert b[1].usable(QUOTA, 0.0) == 1.0
 
 
+def test_request_when_the_grantor_has_not_counted_its_processes_for_long_is_not_granted():
+    """Guards against a grant by a process that was stopped while another one of its node started."""
+    a, b = two_managers()
+    b[1].is_process_count_current = lambda: False
+    exchange(0.0, a, b)
+    assert b[1].usable(QUOTA, 0.0) == a[1].usable(QUOTA, 0.0) == 1.0
+    assert b[1].counts["refused_count"] > 0
+    b[1].is_process_count_current = lambda: True
+    for now in (RETRY_INTERVAL_MS, 2 * RETRY_INTERVAL_MS):
+        exchange(now, a, b)
+    assert a[1].usable(QUOTA, 2 * RETRY_INTERVAL_MS) > 1.0
+
+
 def test_offers_when_there_are_several_are_chosen_at_random_and_expire():
     chosen = set()
     for seed in range(20):
--- a/tests/runtime/test_worker_processes.py
+++ b/tests/runtime/test_worker_processes.py
@@ -14,7 +14,12 @@
 from flintridge.config.platform_config import node_config
 from flintridge.node import Node
 from flintridge.runtime import worker_processes
-from flintridge.runtime.worker_processes import COUNT_INTERVAL_MS, MAX_LOCK_ATTEMPTS, WorkerProcesses
+from flintridge.runtime.worker_processes import (
+    COUNT_INTERVAL_MS,
+    COUNT_VALID_MS,
+    MAX_LOCK_ATTEMPTS,
+    WorkerProcesses,
+)
 
 LOCKING_PROGRAM = """
 import sys
@@ -300,3 +305,17 @@
     assert [event for event, _ in log.events] == ["worker_processes_unknown", "worker_processes"]
     assert len(list(tmp_path.iterdir())) == 1
     processes.close()
+
+
+def test_count_when_the_process_was_stopped_is_not_current_until_it_has_counted_again(tmp_path):
+    clock = ManualClock()
+    processes = WorkerProcesses(str(tmp_path / "node"), clock, RecordingLog(), lambda _: None)
+    assert not processes.is_count_current
+    processes.start()
+    clock.advance(10 * COUNT_INTERVAL_MS)
+    assert processes.is_count_current
+    clock.at += COUNT_VALID_MS + 1  # without running the timer
+    assert not processes.is_count_current
+    clock.advance(0)
+    assert processes.is_count_current
+    processes.close()
