Apply the holds before a starting node answers MN

Callers could have requests sent to servers that operators hold out of service, for up to 50 ms after a starting node's first MN.

Cause: mn is answered as soon as the replica is synchronized; the holds reached the policy with the next tick of the driver.

Change: they are applied with each chunk.

Evidence: the new test failed before and passes now; 156 tests of replication pass.

--- a/flintridge/replication/driver.py
+++ b/flintridge/replication/driver.py
@@ -245,7 +245,10 @@
         self._counters.add("state_chunk_bytes", sum(map(len, frames)))
         for _, entry in received.chunk.entries:
             self.gossip.acknowledgements.add_pending(entry)
-        return self.replica.apply_chunk(self._clock.now(), source, received.chunk)
+        now = self._clock.now()
+        is_complete = self.replica.apply_chunk(now, source, received.chunk)
+        self._apply_holds(now)  # `mn` is answered as soon as the replica is synchronized
+        return is_complete
 
 
 def _limits(config: StateConfig) -> ReplicaLimits:
