Send requests although no server has any warmth yet

Callers of a process saw an error in its policy (the simulator adapter: PANIC) at each request, if coldShare is 0 and all servers start in the future.

Cause: ServerSelection.pick divided by the sum of all fractions, which is 0 then.

Change: each server has the smallest cap then.

Evidence: the new test failed before (ZeroDivisionError) and passes now.

--- a/flintridge/policy/server_selection.py
+++ b/flintridge/policy/server_selection.py
@@ -66,7 +66,8 @@
         if not self._table.ready:
             return None
         fractions = self._outliers.fresh_fractions(now)
-        average = (self._cache_limiter.inflight + 1) / fractions.sum
+        # The sum is 0 if no server has any warmth yet; each then has the smallest cap.
+        average = (self._cache_limiter.inflight + 1) / fractions.sum if fractions.sum else 0.0
         if request.preferred_server is not None and self._takes(
             request.preferred_server, request, fractions, average, now
         ):
--- a/tests/policy/test_server_selection.py
+++ b/tests/policy/test_server_selection.py
@@ -141,3 +141,12 @@
     request.preferred_server = order[changes["preferred_server"]] if "preferred_server" in changes else None
     found = made.selection.pick(request, START)
     assert found == (None if expected is None else order[expected])
+
+
+def test_request_when_no_server_has_any_warmth_is_sent_to_one_of_them():
+    """Guards against an error in the policy if servers start in the future and `coldShare` is 0."""
+    router = Router(count=1, rules=api.Rules(slow_start_fraction=0.0, slow_start_ns=5 * S))
+    starting = tuple(api.Endpoint(f"10.0.0.{i}:80", started_at=router.now + 10 * S) for i in range(3))
+    router.notify(api.EndpointUpdate(UpdateKind.FULL, 2, starting))
+    request_id = router.request("k")
+    assert router.server_of(request_id) in {endpoint.server for endpoint in starting}
