Give a server whose attempts took 0 ns the best health

Cause: health_of divided by the cost of a server, which is 0 then.

Change: a cost of 0 has the best health, 1.

Evidence: the new test failed before (ZeroDivisionError) and passes now.

--- a/flintridge/policy/server_fractions.py
+++ b/flintridge/policy/server_fractions.py
@@ -34,8 +34,8 @@
 
 
 def health_of(cost: float, fleet_cost: float | None) -> float:
-    """Return the health of a server with this cost, from MIN_HEALTH to 1."""
-    if not fleet_cost:
+    """Return the health of a server with this cost, from MIN_HEALTH to 1; 1 for a cost of 0."""
+    if not fleet_cost or not cost:
         return 1.0
     return min(1.0, max(MIN_HEALTH, HEALTHY_COST_FACTOR * fleet_cost / cost))
 
--- a/tests/policy/test_server_fractions.py
+++ b/tests/policy/test_server_fractions.py
@@ -14,7 +14,7 @@
 from flintridge.policy.endpoint_state import RING_BATCH_SERVERS, RING_IMMEDIATE_SERVERS
 from flintridge.policy.hash_ring import HashRing, points
 from flintridge.policy.outlier_detection import OutlierDetection
-from flintridge.policy.server_fractions import MAX_TRACKED_SERVERS
+from flintridge.policy.server_fractions import MAX_TRACKED_SERVERS, health_of
 
 plain = settings(derandomize=True, deadline=None, database=None, max_examples=60)
 
@@ -232,3 +232,9 @@
         router.notify(api.EndpointUpdate(UpdateKind.DELTA, 2 + i, (gone, new)))
     served(router, "k")
     assert len(router.balancer.outliers.fractions._tracked) == 1
+
+
+def test_health_of_a_server_that_costs_nothing_is_the_best():
+    """Guards against an error in the policy after attempts of 0 ns."""
+    assert health_of(0.0, 5.0) == 1.0
+    assert health_of(0.0, None) == 1.0
