Reject requests in time while no server may take one yet

Cause: with coldShare 0 a server that starts later may take nothing. If that is so for all servers, there is no server to pick.

Change: pick says so before it divides.

--- a/flintridge/policy/server_selection.py
+++ b/flintridge/policy/server_selection.py
@@ -66,8 +66,9 @@
         if not self._table.ready:
             return None
         fractions = self._outliers.fresh_fractions(now)
-        # The sum is 0 if no server has any warmth yet; each then has the smallest cap.
-        average = (self._cache_limiter.inflight + 1) / fractions.sum if fractions.sum else 0.0
+        if not fractions.sum:  # no server may take a request yet: all start later, and the cold share is 0
+            return None
+        average = (self._cache_limiter.inflight + 1) / fractions.sum
         if request.preferred_server is not None and self._takes(
             request.preferred_server, request, fractions, average, now
         ):
