Add a soak in which responses come twice and writes come again

The origin names the request in half of its responses, sends three of ten again after 1 to 10 ms, and declines requests after a wait. Writes come again under their ids after their clients left, at the other process of an upgrade too. The start of the clients and the servers are functions of their own now; what other seeds draw is the same.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -20,11 +20,11 @@
 from support.soak_clients import TIMEOUT_MS
 
 
-def run(seed: int, message_faults: bool, timeout_ms: int) -> Result:
+def run(seed: int, message_faults: bool, timeout_ms: int, repeats: bool) -> Result:
     """Play one seed in this process."""
     with tempfile.TemporaryDirectory() as folder:
         os.environ["TMPDIR"] = folder
-        return asyncio.run(Soak(seed, Path(folder), message_faults, timeout_ms).run())
+        return asyncio.run(Soak(seed, Path(folder), message_faults, timeout_ms, repeats).run())
 
 
 def main() -> int:
@@ -35,6 +35,9 @@
     parser.add_argument(
         "--message-faults", action="store_true", help="faults begin at any point of a request or a response"
     )
+    parser.add_argument(
+        "--repeats", action="store_true", help="responses come twice, and writes again under their ids"
+    )
     parser.add_argument("--timeout-ms", type=int, default=TIMEOUT_MS, help="how long the clients wait")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
@@ -42,7 +45,9 @@
     broken = requests = rejected = 0
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
         message_faults = itertools.repeat(arguments.message_faults)
-        results = pool.map(run, seeds, message_faults, itertools.repeat(arguments.timeout_ms))
+        timeouts_ms = itertools.repeat(arguments.timeout_ms)
+        repeats = itertools.repeat(arguments.repeats)
+        results = pool.map(run, seeds, message_faults, timeouts_ms, repeats)
         for seed, result in zip(seeds, results, strict=True):
             requests += result.requests
             rejected += result.rejected
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -7,7 +7,7 @@
 import signal
 import time
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from support import crowd
@@ -17,9 +17,11 @@
 from support.soak_clients import TIMEOUT_MS, Client, Judge, leave_early
 from support.soak_message_faults import PointFaultCache, PointFaultOrigin
 from support.soak_pipelines import PipeliningClient
-from support.soak_servers import DisturbedCache, DisturbedOrigin, Received
+from support.soak_repeated_responses import RepeatingOrigin, receipt_of, send_again, send_bursts
+from support.soak_servers import DisturbedCache, DisturbedOrigin, DisturbedServer, Received
 
 CLIENTS = 8
+REPEATING_CLIENTS = 6
 PIPELINING_CLIENTS = 4  # only where faults begin at any point of a message
 KILL_AFTER_TERM_S = 0.7 + 3.0  # the earliest: the longest deadline, at most 3 s, and 0.7 s
 KEPT_LOG_LINES = 20_000
@@ -92,7 +94,12 @@
     """One run."""
 
     def __init__(
-        self, seed: int, folder: Path, message_faults: bool = False, timeout_ms: int = TIMEOUT_MS
+        self,
+        seed: int,
+        folder: Path,
+        message_faults: bool = False,
+        timeout_ms: int = TIMEOUT_MS,
+        repeats: bool = False,
     ) -> None:
         """Draw the plan of a run.
 
@@ -101,13 +108,18 @@
             folder: Where the node's processes have their files.
             message_faults: Whether the servers' faults begin at any point of a message.
             timeout_ms: How long the clients wait for a response.
+            repeats: Whether responses come twice and writes come again under their ids. There are no crowds
+                then, and processes end by upgrades only, as a process that is killed forgets its ids.
         """
         self._message_faults = message_faults
+        self._repeats = repeats
         self._rng = random.Random(seed)
         self._plan = Plan.draw(self._rng)
+        if repeats:
+            self._plan = replace(self._plan, memory_mb=192, crowd_size=0, endings=("upgrade", "upgrade"))
         self._folder = folder
         self._received = Received()
-        self._judge = Judge(self._received, timeout_ms)
+        self._judge = Judge(self._received, timeout_ms, receipt_of if repeats else lambda _: b"r1")
         self._peak_mb = 0.0
         self._process_count = 0
         self._log: deque[str] = deque(maxlen=KEPT_LOG_LINES)
@@ -120,10 +132,7 @@
             return await self._play()
 
     async def _play(self) -> Result:
-        cache_class = PointFaultCache if self._message_faults else DisturbedCache
-        origin_class = PointFaultOrigin if self._message_faults else DisturbedOrigin
-        cache = cache_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
-        origin = origin_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        cache, origin = self._make_servers()
         await cache.start()
         await origin.start()
         tasks: list[asyncio.Task[None]] = [asyncio.create_task(self._received.watch_stalls())]
@@ -131,17 +140,7 @@
             servers = {"box": cache, "origin": origin}
             program = await self._start(servers, discovery)
             try:
-                for _ in range(CLIENTS):
-                    client = Client(self._port, random.Random(self._rng.random()), self._judge)
-                    tasks.append(asyncio.create_task(client.run()))
-                if self._message_faults:
-                    for _ in range(PIPELINING_CLIENTS):
-                        pipelining = PipeliningClient(
-                            self._port, random.Random(self._rng.random()), self._judge
-                        )
-                        tasks.append(asyncio.create_task(pipelining.run()))
-                leaving = leave_early(self._port, random.Random(self._rng.random()), self._judge)
-                tasks.append(asyncio.create_task(leaving))
+                tasks += self._start_clients()
                 for ending in self._plan.endings:
                     await self._disturb(program)
                     program = await self._end(ending, program, servers, discovery)
@@ -166,6 +165,32 @@
             self._lines_of_findings(),
         )
 
+    def _make_servers(self) -> tuple[DisturbedServer, DisturbedServer]:
+        """Create the cache server and the origin."""
+        cache_class = PointFaultCache if self._message_faults else DisturbedCache
+        origin_class = PointFaultOrigin if self._message_faults else DisturbedOrigin
+        cache = cache_class(random.Random(self._rng.random()), self._received, self._plan.fault_fraction)
+        if self._repeats:
+            origin: DisturbedServer = RepeatingOrigin(random.Random(self._rng.random()), self._received)
+        else:
+            origin = origin_class(
+                random.Random(self._rng.random()), self._received, self._plan.fault_fraction
+            )
+        return cache, origin
+
+    def _start_clients(self) -> list[asyncio.Task[None]]:
+        """Start the clients, whose tasks run until cancelled."""
+        makers = [lambda *client: Client(*client).run()] * CLIENTS
+        if self._message_faults:
+            makers += [lambda *client: PipeliningClient(*client).run()] * PIPELINING_CLIENTS
+        makers.append(leave_early)
+        if self._repeats:
+            makers += [send_again] * REPEATING_CLIENTS + [send_bursts]
+        return [
+            asyncio.create_task(make(self._port, random.Random(self._rng.random()), self._judge))
+            for make in makers
+        ]
+
     async def _read_log(self, program: Program) -> None:
         async for line in program.process.stdout:
             self._log.append(f"process {program.config.parent.name}: {line.decode().strip()}")
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 
 from support.soak_servers import HOST, Received, value_of
 
@@ -24,7 +25,13 @@
         crowded_until: While a crowd fills the node, until this instant, it may close connections unread.
     """
 
-    def __init__(self, received: Received, timeout_ms: int = TIMEOUT_MS) -> None:
+    def __init__(
+        self,
+        received: Received,
+        timeout_ms: int = TIMEOUT_MS,
+        receipt_of: Callable[[str], bytes] = lambda _: b"r1",
+    ) -> None:
+        self._receipt_of = receipt_of
         self.timeout_ms = timeout_ms  # how long the clients wait
         self.latest_response_s = timeout_ms / 1000 + LATE_S
         self.findings: list[str] = []
@@ -50,7 +57,7 @@
         elif line.startswith(b"SERVER_ERROR"):
             self.rejected += 1
         elif is_write:
-            if line != f"HD O{request_id} cr1\r\n".encode():
+            if line != f"HD O{request_id} c".encode() + self._receipt_of(request_id) + b"\r\n":
                 self.findings.append(f"wrong receipt of {request_id}: {line!r}")
         elif value != value_of(key) or f" O{request_id}\r\n".encode() not in line:
             self.findings.append(f"wrong value of {key} for {request_id}: {line!r}, {len(value)} bytes")
