--- a/tests/support/soak_message_faults.py
+++ b/tests/support/soak_message_faults.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from support.soak_servers import DisturbedServer, Received, value_of
+from support.soak_servers import DisturbedServer, Received, read_origin_request, value_of
 
 CHUNK_BYTES = 16_000  # of a body with chunked transfer coding
 SILENCE_S = 12.0
@@ -91,20 +91,15 @@
                 listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
 
     async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        lines = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:])
-        method, target, _ = head.split(" ", 2)
-        request_id = lines["Req-Id"]
-        self._received.attempts.append((time.monotonic(), request_id))
-        if method == "PUT":
-            await self._read_value(reader, writer, int(lines["Content-Length"]))
-            executed = self._received.executed
-            executed[request_id] = executed.get(request_id, 0) + 1
+        request = await read_origin_request(reader, self._received)
+        if request.is_write:
+            await self._read_value(reader, writer, request.length)
+            self._received.note_executed(request.id)
             await self._write_response(
-                writer, request_id, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", b"r1"
+                writer, request.id, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", b"r1"
             )
             return
-        await self._write_value(writer, request_id, value_of(target[1:]))
+        await self._write_value(writer, request.id, value_of(request.key))
 
     async def _read_value(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, length: int
--- a/tests/support/soak_repeated_responses.py
+++ b/tests/support/soak_repeated_responses.py
@@ -4,10 +4,9 @@
 import contextlib
 import itertools
 import random
-import time
 
 from support.soak_clients import Judge
-from support.soak_servers import HOST, DisturbedServer, Received, value_of
+from support.soak_servers import HOST, DisturbedServer, Received, read_origin_request, value_of
 
 NAMED_FRACTION = 0.5  # of the responses with status 200
 DECLINED_FRACTION = 0.15
@@ -33,23 +32,17 @@
         super().__init__(rng, received, fault_fraction=0.0)
 
     async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        lines = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:])
-        method, target, _ = head.split(" ", 2)
-        request_id = lines["Req-Id"]
-        self._received.attempts.append((time.monotonic(), request_id))
-        if method == "PUT":
-            await reader.readexactly(int(lines["Content-Length"]))
+        request = await read_origin_request(reader, self._received)
+        await reader.readexactly(request.length)
         if self._rng.random() < DECLINED_FRACTION:
             await asyncio.sleep(self._rng.uniform(*QUEUE_TIMES_S))
             writer.write(b"HTTP/1.1 504 Late\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
             return
-        body = value_of(target[1:])
-        if method == "PUT":
-            executed = self._received.executed
-            executed[request_id] = executed.get(request_id, 0) + 1
-            body = receipt_of(request_id)
-        self._write_response(writer, request_id, body)
+        body = value_of(request.key)
+        if request.is_write:
+            self._received.note_executed(request.id)
+            body = receipt_of(request.id)
+        self._write_response(writer, request.id, body)
 
     def _write_response(self, writer: asyncio.StreamWriter, request_id: str, body: bytes) -> None:
         name = f"Req-Id: {request_id}\r\n" if self._rng.random() < NAMED_FRACTION else ""
--- a/tests/support/soak_servers.py
+++ b/tests/support/soak_servers.py
@@ -36,6 +36,10 @@
     closed_while_writing: set[str] = field(default_factory=set)
     longest_stall_s: float = 0.0
 
+    def note_executed(self, request_id: str) -> None:
+        """Count that a write was executed."""
+        self.executed[request_id] = self.executed.get(request_id, 0) + 1
+
     async def watch_stalls(self) -> None:
         """Measure stalls of this process until cancelled."""
         while True:
@@ -44,6 +48,33 @@
             self.longest_stall_s = max(self.longest_stall_s, time.monotonic() - before - 0.02)
 
 
+@dataclass(frozen=True)
+class OriginRequest:
+    """The head of a request at an origin.
+
+    Attributes:
+        id: The request's id.
+        key: The key that it reads or writes.
+        is_write: Whether it is a write.
+        length: The length of the value that it writes; 0 for a read.
+    """
+
+    id: str
+    key: str
+    is_write: bool
+    length: int
+
+
+async def read_origin_request(reader: asyncio.StreamReader, received: Received) -> OriginRequest:
+    """Read the head of a request, and record the attempt."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    headers = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:])
+    method, target, _ = head.split(" ", 2)
+    request_id = headers["Req-Id"]
+    received.attempts.append((time.monotonic(), request_id))
+    return OriginRequest(request_id, target[1:], method == "PUT", int(headers.get("Content-Length", "0")))
+
+
 class DisturbedServer:
     """A server that answers late, in slow pieces, or not at all, as often as its seed has it."""
 
@@ -130,16 +161,11 @@
     """An origin that has all keys and executes writes."""
 
     async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        lines = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:])
-        method, target, _ = head.split(" ", 2)
-        request_id = lines["Req-Id"]
-        self._received.attempts.append((time.monotonic(), request_id))
-        if method == "PUT":
-            await reader.readexactly(int(lines["Content-Length"]))
-            executed = self._received.executed
-            executed[request_id] = executed.get(request_id, 0) + 1
+        request = await read_origin_request(reader, self._received)
+        if request.is_write:
+            await reader.readexactly(request.length)
+            self._received.note_executed(request.id)
             body = b"r1"
         else:
-            body = value_of(target[1:])
+            body = value_of(request.key)
         await self._write(writer, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
