Log a change of the number of processes only when it changes

Callers (operators) saw leases_process_left in the log at each reload, although no process had ended.

A reload applies the limits anew and reports the number of processes again; the conditions that passed over an equal number went with the old methods.

Change: an equal number changes and logs nothing.

Evidence: found by reading the whole change again.

--- a/flintridge/leases/lease_manager.py
+++ b/flintridge/leases/lease_manager.py
@@ -168,6 +168,8 @@
 
     def process_count_changed(self, now: float, count: int, notice_ms: float = 0.0) -> None:
         """Record how many processes of this node run; see `Allocation.process_count_changed`."""
+        if count == self._process_count:  # a reload reports the number again
+            return
         has_joined = count > self._process_count
         self._process_count = count
         for account in self.accounts.values():
--- a/tests/leases/test_lease_manager.py
+++ b/tests/leases/test_lease_manager.py
@@ -202,6 +202,19 @@
     assert a[1].usable(QUOTA, 2 * RETRY_INTERVAL_MS) > 1.0
 
 
+def test_process_count_when_it_is_the_same_again_is_not_logged():
+    """Guards against `leases_process_left` in the log at each reload."""
+    events = []
+    manager = lease_manager("b", log_event=lambda event, **fields: events.append((event, fields["count"])))
+    for count in (1, 2, 2, 3, 1, 1):
+        manager.process_count_changed(0.0, count)
+    assert events == [
+        ("leases_process_joined", 2),
+        ("leases_process_joined", 3),
+        ("leases_process_left", 1),
+    ]
+
+
 def test_offers_when_there_are_several_are_chosen_at_random_and_expire():
     chosen = set()
     for seed in range(20):
